--- /dev/null
+++ b/src/main/kotlin/cleathitch/App.kt
@@ -0,0 +1,74 @@
+package cleathitch
+
+import cleathitch.cloud.CallBudget
+import cleathitch.cloud.CloudClient
+import cleathitch.config.Settings
+import cleathitch.core.Tuning
+import cleathitch.http.Front
+import cleathitch.peers.PeerClient
+import cleathitch.peers.PeerCodec
+import cleathitch.protocol.HttpReply
+import cleathitch.protocol.Wire
+import cleathitch.state.StateClient
+import cleathitch.workers.WorkerClient
+import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import io.vertx.core.Vertx
+import io.vertx.core.VertxOptions
+import io.vertx.kotlin.coroutines.dispatcher
+import java.util.UUID
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.launch
+import kotlinx.serialization.SerializationException
+import org.slf4j.LoggerFactory
+
+/** Puts a node together and runs it until the process is killed. */
+class App(private val settings: Settings) {
+    private val vertx = Vertx.vertx(VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1))
+    private val scope = CoroutineScope(vertx.dispatcher() + SupervisorJob())
+    private val meters: MeterRegistry = SimpleMeterRegistry()
+
+    fun start() {
+        val clocks = Clocks()
+        val deployment = settings.deployment
+        val reportMs = (deployment.reportS * 1000).toLong()
+        val services = Services(
+            deployment,
+            Tuning.of(deployment),
+            WorkerClient(vertx, timeoutMs = reportMs),
+            CloudClient(vertx, settings.cloud, CallBudget(deployment.cloudRps * CLOUD_SHARE, clocks::steadyMs), timeoutMs = reportMs * 2),
+            clocks,
+            meters,
+        )
+        val state = StateClient(vertx, settings.state, timeoutMs = reportMs / 3)
+        val node = Node(settings, services, state, PeerClient(vertx), scope, UUID.randomUUID().toString())
+        scope.launch {
+            Front(vertx, scope, Wire.MAX_BODY, node::front).listen(settings.bind)
+            Front(vertx, scope, PEER_BODY) { method, path, body -> internal(node, method, path, body) }.listen(settings.internalAddr)
+            log.info("node {} listens on {} and {}", settings.member, settings.bind, settings.internalAddr)
+            node.run()
+        }
+    }
+
+    private suspend fun internal(node: Node, method: String, path: String, body: ByteArray): HttpReply = when {
+        path == PeerClient.PATH && method == "POST" -> try {
+            HttpReply(200, PeerCodec.encode(node.peer(PeerCodec.decodeRequest(body))))
+        } catch (e: SerializationException) {
+            log.error("a garbled request from a peer: {}", e.message)
+            HttpReply(400)
+        }
+        path == "/metrics" && method == "GET" -> HttpReply(200, Metrics.text(meters).toByteArray())
+        else -> HttpReply(404)
+    }
+
+    private companion object {
+        val log = LoggerFactory.getLogger("cleathitch.app")
+
+        /** What the leader may take of the cloud's calls; the rest is for the others' start. */
+        const val CLOUD_SHARE = 0.8
+
+        /** A user's or worker's message with what CBOR adds. */
+        const val PEER_BODY = Wire.MAX_BODY + 4096
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/cleathitch/LeaderTerm.kt
@@ -0,0 +1,197 @@
+package cleathitch
+
+import cleathitch.cloud.CloudClient
+import cleathitch.core.Command
+import cleathitch.core.Deployment
+import cleathitch.core.Effect
+import cleathitch.core.Engine
+import cleathitch.core.JobId
+import cleathitch.core.JobSpec
+import cleathitch.core.MachineType
+import cleathitch.core.Moment
+import cleathitch.core.NoteLevel
+import cleathitch.core.Report
+import cleathitch.core.RequestId
+import cleathitch.core.Term
+import cleathitch.core.Tuning
+import cleathitch.core.UserReply
+import cleathitch.state.Store
+import cleathitch.state.StoredCodec
+import cleathitch.workers.WorkerClient
+import io.micrometer.core.instrument.MeterRegistry
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import org.slf4j.LoggerFactory
+
+/** The clocks of this node. */
+class Clocks {
+    fun steadyMs() = TimeUnit.NANOSECONDS.toMillis(System.nanoTime())
+    fun moment() = Moment(steadyMs(), System.currentTimeMillis())
+}
+
+/** What a term as leader works with. */
+class Services(
+    val deployment: Deployment,
+    val tuning: Tuning,
+    val workers: WorkerClient,
+    val cloud: CloudClient,
+    val clocks: Clocks,
+    val meters: MeterRegistry,
+)
+
+/**
+ * One term as leader: the engine, its queue of commands, and the coroutines that carry out what it
+ * wants done. Only [run] touches the engine.
+ */
+class LeaderTerm(
+    val term: Term,
+    private val services: Services,
+    private val store: Store,
+    heldUntilMs: Long,
+    private val knownTypes: List<MachineType>,
+    private val stepDown: (String) -> Unit,
+) {
+    private val commands = Channel<Command>(Channel.UNLIMITED)
+    private val users = HashMap<RequestId, CompletableDeferred<UserReply>>()
+    private val reports = HashMap<RequestId, CompletableDeferred<Effect.AnswerReport?>>()
+    private var requests = 0L
+
+    var heldUntilMs = heldUntilMs
+        private set
+    var ready = false
+        private set
+
+    fun renewed(untilMs: Long) {
+        heldUntilMs = untilMs
+        commands.trySend(Command.LeaseHeld(untilMs))
+    }
+
+    suspend fun submit(spec: JobSpec) = askUser { Command.Submit(it, spec) }
+    suspend fun poll(job: JobId) = askUser { Command.Poll(it, job) }
+    suspend fun abort(job: JobId) = askUser { Command.Abort(it, job) }
+
+    private suspend fun askUser(command: (RequestId) -> Command): UserReply {
+        if (!ready) return UserReply.NotNow("taking over")
+        return ask(users, command) ?: UserReply.NotNow("not the leader any more")
+    }
+
+    /** Null if the report must not be answered. */
+    suspend fun report(report: Report): Effect.AnswerReport? {
+        if (!ready) return null
+        return ask(reports) { Command.Reported(it, report) }
+    }
+
+    private suspend fun <T> ask(open: HashMap<RequestId, CompletableDeferred<T>>, command: (RequestId) -> Command): T? {
+        val request = RequestId(++requests)
+        val answer = CompletableDeferred<T>()
+        open[request] = answer
+        commands.trySend(command(request))
+        return try {
+            withTimeoutOrNull(ANSWER_MS) { answer.await() }
+        } finally {
+            open.remove(request)
+        }
+    }
+
+    /** Gives every open request its last answer. */
+    fun end() {
+        ready = false
+        users.values.toList().forEach { it.complete(UserReply.NotNow("not the leader any more")) }
+        reports.values.toList().forEach { it.complete(null) }
+    }
+
+    suspend fun run() = coroutineScope {
+        val begun = services.clocks.steadyMs()
+        val snapshot = store.load()
+        val engine = Engine(
+            services.deployment, services.tuning, term, snapshot, services.clocks.moment(), StoredCodec, Random(term.revision),
+        )
+        commands.trySend(Command.LeaseHeld(heldUntilMs))
+        if (knownTypes.isNotEmpty()) commands.trySend(Command.TypesListed(knownTypes))
+        ready = true
+        log.info(
+            "term {}: leading after {} ms of replay; {} jobs open, {} records",
+            term.revision, services.clocks.steadyMs() - begun, engine.openJobs, snapshot.records.size,
+        )
+        launch { tick() }
+        launch { watchTypes() }
+        launch { watchMachines() }
+        val batches = services.meters.summary("engine.batch")
+        val time = services.meters.timer("engine.time")
+        val batch = ArrayList<Command>()
+        while (true) {
+            batch.clear()
+            batch += commands.receive()
+            while (true) batch += commands.tryReceive().getOrNull() ?: break
+            val started = System.nanoTime()
+            val effects = engine.handle(batch, services.clocks.moment())
+            time.record(System.nanoTime() - started, TimeUnit.NANOSECONDS)
+            batches.record(batch.size.toDouble())
+            effects.forEach { perform(it) }
+        }
+    }
+
+    private fun CoroutineScope.perform(effect: Effect) {
+        when (effect) {
+            is Effect.Answer -> users[effect.request]?.complete(effect.reply)
+            is Effect.AnswerReport -> reports[effect.request]?.complete(effect)
+            is Effect.RefuseReport -> reports[effect.request]?.complete(null)
+            is Effect.Write -> launch {
+                val revision = store.commit(effect.commit)
+                if (revision == null) stepDown("a transaction was refused") else commands.send(Command.Committed(effect.commit.seq, revision))
+            }
+            is Effect.Push -> launch {
+                services.workers.push(effect)?.let { commands.send(Command.Inspected(it)) }
+            }
+            is Effect.Rent -> launch {
+                val answer = services.cloud.rent(effect.asked)
+                commands.send(Command.RentalAnswered(effect.asked.request, answer))
+            }
+            is Effect.Return -> launch {
+                if (services.cloud.giveBack(effect.machines)) commands.send(Command.Returned(effect.machines))
+            }
+            is Effect.StepDown -> stepDown(effect.reason)
+            is Effect.Note -> when (effect.level) {
+                NoteLevel.ERROR -> log.error("term {}: {}", term.revision, effect.text)
+                NoteLevel.INFO -> log.info("term {}: {}", term.revision, effect.text)
+                NoteLevel.DEBUG -> log.debug("term {}: {}", term.revision, effect.text)
+            }
+        }
+    }
+
+    private suspend fun tick() {
+        while (true) {
+            delay(services.tuning.roundMs)
+            commands.send(Command.Tick)
+        }
+    }
+
+    private suspend fun watchTypes() {
+        while (true) {
+            services.cloud.types()?.let { commands.send(Command.TypesListed(it)) }
+            delay((services.deployment.leaseS * 1000).toLong())
+        }
+    }
+
+    private suspend fun watchMachines() {
+        val periodMs = (maxOf(services.deployment.listLagS, services.deployment.reportS) * 1000).toLong()
+        while (true) {
+            services.cloud.machines()?.let { commands.send(Command.MachinesListed(it)) }
+            delay(periodMs)
+        }
+    }
+
+    private companion object {
+        val log = LoggerFactory.getLogger("cleathitch.leader")
+
+        /** Longer than the engine takes to give up on a request by itself; only a stopped engine meets it. */
+        const val ANSWER_MS = 3000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/cleathitch/Node.kt
@@ -0,0 +1,240 @@
+package cleathitch
+
+import cleathitch.config.Settings
+import cleathitch.core.MachineId
+import cleathitch.core.MachineType
+import cleathitch.core.Report
+import cleathitch.core.Term
+import cleathitch.core.UserReply
+import cleathitch.peers.PeerClient
+import cleathitch.peers.PeerReply
+import cleathitch.peers.PeerRequest
+import cleathitch.protocol.HttpReply
+import cleathitch.protocol.Malformed
+import cleathitch.protocol.UserWire
+import cleathitch.protocol.WorkerWire
+import cleathitch.state.Leadership
+import cleathitch.state.LeadershipListener
+import cleathitch.state.StateClient
+import cleathitch.state.Store
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.slf4j.LoggerFactory
+
+/**
+ * One controller: leads or follows, answers users and workers by itself or through the leader.
+ * Everything runs on one event loop.
+ */
+class Node(
+    private val settings: Settings,
+    private val services: Services,
+    private val state: StateClient,
+    private val peers: PeerClient,
+    private val scope: CoroutineScope,
+    incarnation: String,
+) : LeadershipListener {
+    private val clocks = services.clocks
+    private val reportMs = (settings.deployment.reportS * 1000).toLong()
+    private val leadership = Leadership(
+        state, settings.member, incarnation, ttlMs = reportMs, LEADER_KEY, this, clocks::steadyMs,
+    )
+    private val peerAddresses = settings.peers.associate { it.member to it.addr }
+
+    private var leading: LeaderTerm? = null
+    private var leadingJob: Job? = null
+    private var leader: String? = null
+    private var leaderTerm = 0L
+    private var leaderHeardMs: Long? = null
+    private var types: List<MachineType> = emptyList()
+    private val redirectedMs = HashMap<MachineId, Long>()
+
+    suspend fun run() {
+        scope.launch { learnTypes() }
+        scope.launch { tellPeers() }
+        leadership.run()
+    }
+
+    private suspend fun learnTypes() {
+        while (types.isEmpty()) {
+            types = services.cloud.types().orEmpty()
+            if (types.isEmpty()) delay(reportMs / 3)
+        }
+    }
+
+    // ---- leadership
+
+    override fun elected(term: Term, heldUntilMs: Long) {
+        log.info("term {}: elected", term.revision)
+        val store = Store(state, PREFIX, LEADER_KEY, term)
+        val mine = LeaderTerm(term, services, store, heldUntilMs, types) { reason -> depose(term, reason) }
+        leading = mine
+        leader = settings.member
+        leaderTerm = term.revision
+        leadingJob = scope.launch { mine.run() }
+    }
+
+    override fun renewed(heldUntilMs: Long) {
+        leading?.renewed(heldUntilMs)
+    }
+
+    override fun deposed(reason: String) {
+        leading?.let { depose(it.term, reason) }
+    }
+
+    private fun depose(term: Term, reason: String) {
+        val mine = leading ?: return
+        if (mine.term != term) return
+        log.info("term {}: stepping down: {}", term.revision, reason)
+        leading = null
+        if (leader == settings.member) leader = null
+        leadingJob?.cancel()
+        mine.end()
+        leadership.resign(reason)
+    }
+
+    override fun leaderIs(member: String?) {
+        if (leading != null) return
+        if (member != leader) log.info("leader: {}", member ?: "none")
+        leader = member
+    }
+
+    /** The leader tells its peers every third of a lease, so that they know it even without the state service. */
+    private suspend fun tellPeers() {
+        while (true) {
+            val mine = leading
+            if (mine != null && mine.ready) {
+                for (peer in settings.peers) scope.launch {
+                    val reply = peers.ask(peer.addr, PeerRequest.Leads(settings.member, settings.member, mine.term.revision), reportMs / 3)
+                    if (reply != null && reply.term > mine.term.revision) depose(mine.term, "${peer.member} knows term ${reply.term}")
+                }
+            }
+            delay(reportMs / 3)
+        }
+    }
+
+    private fun heard(from: String, term: Long) {
+        if (term < leaderTerm) return
+        leading?.let { if (it.term.revision < term) depose(it.term, "$from leads in term $term") }
+        if (leading != null) return
+        if (leader != from) log.info("leader: {} in term {}", from, term)
+        leader = from
+        leaderTerm = term
+        leaderHeardMs = clocks.steadyMs()
+    }
+
+    // ---- requests
+
+    suspend fun front(method: String, path: String, body: ByteArray): HttpReply = when {
+        path == "/ready" -> if (method == "GET") HttpReply(if (isReady()) 200 else 503) else HttpReply(405)
+        path == "/agent/beat" -> if (method == "POST") beat(body) else HttpReply(405)
+        path == "/submissions" || path.startsWith("/submissions/") -> user(method, path, body, forwarded = false)
+        else -> HttpReply(404)
+    }
+
+    /** Ready while requests can be served, here or through the leader; short elections don't count. */
+    private fun isReady(): Boolean {
+        val now = clocks.steadyMs()
+        leading?.let { return it.ready && now < it.heldUntilMs + reportMs }
+        return leaderHeardMs?.let { now - it < reportMs * READY_REPORTS } == true
+    }
+
+    private suspend fun user(method: String, path: String, body: ByteArray, forwarded: Boolean): HttpReply {
+        val call: suspend (LeaderTerm) -> UserReply = try {
+            userCall(method, path, body) ?: return HttpReply(if (isUserPath(path)) 405 else 404)
+        } catch (e: Malformed) {
+            return HttpReply(400, UserWire.error(e.message.orEmpty()))
+        }
+        leading?.let { return UserWire.reply(call(it)) }
+        val address = leader?.let(peerAddresses::get)
+        if (!forwarded && address != null) {
+            val reply = peers.ask(address, PeerRequest.User(method, path, body), FORWARD_MS)
+            if (reply != null) return HttpReply(reply.status, reply.body, reply.retryAfterS)
+        }
+        return UserWire.reply(UserReply.NotNow("no leader"))
+    }
+
+    private fun isUserPath(path: String): Boolean {
+        val parts = path.removePrefix("/submissions").trim('/').split('/')
+        return path == "/submissions" || parts.size == 1 || (parts.size == 2 && parts[1] == "abort")
+    }
+
+    /** What is asked of the leader; null if there is no such method or path. */
+    private fun userCall(method: String, path: String, body: ByteArray): (suspend (LeaderTerm) -> UserReply)? {
+        if (path == "/submissions") {
+            if (method != "POST") return null
+            val spec = UserWire.submission(body)
+            return { it.submit(spec) }
+        }
+        val parts = path.removePrefix("/submissions/").split('/')
+        val job = UserWire.jobId(parts[0]) ?: return { UserReply.NotFound }
+        return when {
+            parts.size == 1 && method == "GET" -> { term -> term.poll(job) }
+            parts.size == 2 && parts[1] == "abort" && method == "POST" -> { term -> term.abort(job) }
+            else -> null
+        }
+    }
+
+    private suspend fun beat(body: ByteArray): HttpReply {
+        val report = try {
+            WorkerWire.report(body)
+        } catch (e: Malformed) {
+            return HttpReply(400, UserWire.error(e.message.orEmpty()))
+        }
+        leading?.let { return beatHere(it, report) }
+        val name = leader ?: return HttpReply(503)
+        val now = clocks.steadyMs()
+        val last = redirectedMs[report.machine]
+        if (last != null && now - last < reportMs * RELAY_REPORTS) {
+            // It was sent to the leader and came back: the way there is cut.
+            val reply = peerAddresses[name]?.let { peers.ask(it, PeerRequest.WorkerReport(body), FORWARD_MS) }
+            return if (reply == null || reply.status != 200) HttpReply(503) else HttpReply(200, reply.body)
+        }
+        if (redirectedMs.size > MOST_REDIRECTED) redirectedMs.clear()
+        redirectedMs[report.machine] = now
+        return HttpReply(421, WorkerWire.elsewhere(name))
+    }
+
+    private suspend fun beatHere(mine: LeaderTerm, report: Report): HttpReply {
+        val answer = mine.report(report)
+        return when {
+            answer != null -> HttpReply(200, WorkerWire.answer(answer.version, answer.orders))
+            leading === mine -> HttpReply(503)
+            else -> HttpReply(421, WorkerWire.elsewhere(leader.takeIf { it != settings.member }))
+        }
+    }
+
+    suspend fun peer(request: PeerRequest): PeerReply = when (request) {
+        is PeerRequest.Leads -> {
+            heard(request.from, request.term)
+            PeerReply(200, leader = leader, term = leaderTerm)
+        }
+        is PeerRequest.User -> user(request.method, request.path, request.body, forwarded = true)
+            .let { PeerReply(it.status, it.body, it.retryAfterS, leader, leaderTerm) }
+        is PeerRequest.WorkerReport -> {
+            val mine = leading
+            if (mine == null) {
+                PeerReply(503, leader = leader, term = leaderTerm)
+            } else {
+                beatHere(mine, WorkerWire.report(request.body)).let { PeerReply(it.status, it.body, null, leader, leaderTerm) }
+            }
+        }
+    }
+
+    private companion object {
+        val log = LoggerFactory.getLogger("cleathitch.node")
+        const val PREFIX = "cleathitch/"
+        const val LEADER_KEY = "leader/cleathitch"
+
+        /** Under what users wait for a poll's answer. */
+        const val FORWARD_MS = 1800L
+
+        /** A worker that comes back within so many report periods couldn't reach the leader. */
+        const val RELAY_REPORTS = 5
+
+        /** An election takes one lease, which is one report period. */
+        const val READY_REPORTS = 2
+        const val MOST_REDIRECTED = 100_000
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/cleathitch/cli/Main.kt
@@ -0,0 +1,72 @@
+package cleathitch.cli
+
+import cleathitch.App
+import cleathitch.config.BadSettings
+import cleathitch.config.Settings
+import java.nio.file.Path
+import kotlin.system.exitProcess
+import picocli.CommandLine
+import picocli.CommandLine.Command
+import picocli.CommandLine.IVersionProvider
+import picocli.CommandLine.Option
+
+@Command(
+    name = "cleathitch",
+    description = ["A cluster scheduler that keeps its state in a small consistent store."],
+    mixinStandardHelpOptions = true,
+    versionProvider = Version::class,
+    subcommands = [Serve::class, CheckConfig::class],
+)
+class Main : Runnable {
+    override fun run() = throw CommandLine.ParameterException(CommandLine(this), "a command is missing: serve or check-config")
+}
+
+class Version : IVersionProvider {
+    override fun getVersion() = arrayOf("cleathitch ${Main::class.java.`package`.implementationVersion ?: "(not packaged)"}")
+}
+
+@Command(name = "serve", description = ["Runs a controller until it is killed."], mixinStandardHelpOptions = true, versionProvider = Version::class)
+class Serve : Runnable {
+    @Option(names = ["--config"], required = true, paramLabel = "FILE", description = ["the platform's settings (JSON)"])
+    lateinit var config: Path
+
+    override fun run() = App(Settings.read(config)).start()
+}
+
+@Command(
+    name = "check-config",
+    description = ["Reads the settings, says what is wrong with them, and ends."],
+    mixinStandardHelpOptions = true,
+    versionProvider = Version::class,
+)
+class CheckConfig : Runnable {
+    @Option(names = ["--config"], required = true, paramLabel = "FILE", description = ["the platform's settings (JSON)"])
+    lateinit var config: Path
+
+    override fun run() {
+        val settings = Settings.read(config)
+        println("$config: ok, member ${settings.member} of ${settings.deployment.nodes}")
+    }
+}
+
+private fun configureLogging() {
+    val level = System.getenv("LOG_LEVEL")?.lowercase()?.takeIf { it in setOf("error", "info", "debug") } ?: "info"
+    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "error")
+    System.setProperty("org.slf4j.simpleLogger.log.cleathitch", level)
+    System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
+    System.setProperty("org.slf4j.simpleLogger.showDateTime", "true")
+    System.setProperty("org.slf4j.simpleLogger.dateTimeFormat", "yyyy-MM-dd'T'HH:mm:ss.SSSXXX")
+}
+
+fun main(args: Array<String>) {
+    configureLogging()
+    val exit = CommandLine(Main())
+        .setExecutionExceptionHandler { e, command, _ ->
+            if (e !is BadSettings) throw e
+            command.err.println("cleathitch: ${e.message}")
+            CommandLine.ExitCode.SOFTWARE
+        }
+        .execute(*args)
+    // A server's threads live on after its command has returned.
+    if (exit != CommandLine.ExitCode.OK) exitProcess(exit)
+}
--- /dev/null
+++ b/src/main/kotlin/cleathitch/core/Commands.kt
@@ -0,0 +1,83 @@
+package cleathitch.core
+
+/** What reaches the engine. */
+sealed interface Command {
+    data class Submit(val request: RequestId, val spec: JobSpec) : Command
+    data class Poll(val request: RequestId, val job: JobId) : Command
+    data class Abort(val request: RequestId, val job: JobId) : Command
+
+    /** A machine's report that waits for an answer. */
+    data class Reported(val request: RequestId, val report: Report) : Command
+
+    /** A report that came as the answer to orders sent directly. */
+    data class Inspected(val report: Report) : Command
+
+    data class LeaseHeld(val untilMs: Long) : Command
+    data class Committed(val seq: Seq, val revision: Long) : Command
+    data class TypesListed(val types: List<MachineType>) : Command
+    data class MachinesListed(val machines: List<ListedMachine>) : Command
+    data class RentalAnswered(val request: String, val answer: RentalAnswer) : Command
+    data class Returned(val machines: List<MachineId>) : Command
+    data object Tick : Command
+}
+
+sealed interface RentalAnswer {
+    data class Rented(val machines: List<MachineId>) : RentalAnswer
+    data object NoCapacity : RentalAnswer
+
+    /** The cloud said no to the request itself; asking again won't help. */
+    data object Rejected : RentalAnswer
+
+    /** No answer, or one that says nothing; the request is asked again under its name. */
+    data object Unknown : RentalAnswer
+}
+
+/** What the engine wants done, in this order. */
+sealed interface Effect {
+    data class Answer(val request: RequestId, val reply: UserReply) : Effect
+    data class AnswerReport(val request: RequestId, val version: OrderVersion, val orders: List<Order>) : Effect
+    data class RefuseReport(val request: RequestId) : Effect
+    data class Write(val commit: Commit) : Effect
+    data class Push(
+        val machine: MachineId,
+        val addr: String,
+        val session: Long,
+        val version: OrderVersion,
+        val orders: List<Order>,
+    ) : Effect
+
+    data class Rent(val asked: Event.RentalAsked) : Effect
+    data class Return(val machines: List<MachineId>) : Effect
+    data class StepDown(val reason: String) : Effect
+    data class Note(val level: NoteLevel, val text: String) : Effect
+}
+
+enum class NoteLevel { ERROR, INFO, DEBUG }
+
+enum class ShownState { QUEUED, RUNNING, DONE, CANCELLED }
+
+sealed interface UserReply {
+    data class Accepted(val job: JobId, val state: ShownState, val known: Boolean) : UserReply
+    data class Status(val job: JobId, val state: ShownState, val done: Int, val running: Int) : UserReply
+    data class Aborted(val job: JobId, val state: ShownState) : UserReply
+    data class NeverRuns(val reason: String) : UserReply
+    data object NotFound : UserReply
+
+    /** Not now; the user may ask again after [retryAfterS]. */
+    data class NotNow(val reason: String, val retryAfterS: Int = 1) : UserReply
+}
+
+/** What a new leader finds in the state service. */
+data class Snapshot(
+    val head: Seq,
+    val records: List<Pair<Seq, Record>>,
+    val jobs: List<StoredJob>,
+    val fleet: FleetCell?,
+    val finals: List<Pair<Long, FinalsCell>>,
+) {
+    data class StoredJob(val cell: JobCell, val parts: Int)
+
+    companion object {
+        val EMPTY = Snapshot(Seq.NONE, emptyList(), emptyList(), null, emptyList())
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -0,0 +1,629 @@
+package cleathitch.core
+
+import kotlin.random.Random
+
+/**
+ * The leader's mind during one term: takes commands in batches and yields effects. It has no clock,
+ * no randomness and no connections of its own.
+ *
+ * Events change the state in memory at once, but nothing that depends on one leaves the engine before
+ * its record is committed: answers wait in [gates], orders look at [Journal.committed].
+ */
+class Engine(
+    private val deployment: Deployment,
+    private val tuning: Tuning,
+    private val term: Term,
+    snapshot: Snapshot,
+    start: Moment,
+    sizes: Journal.Sizes,
+    random: Random,
+) {
+    private class Gate(val seq: Seq, val effect: Effect, val giveUpMs: Long?)
+
+    private val ledger = Ledger()
+    private val fleet = Fleet(deployment, ledger)
+    private val quota = Quota(deployment.teams, ledger)
+    private val journal = Journal(deployment, sizes)
+    private val placement = Placement(fleet, ledger, tuning.sample, random)
+
+    private val effects = ArrayList<Effect>()
+    private val gates = ArrayList<Gate>()
+
+    /** Outcomes on their way to the journal; an exited attempt is forgotten on its machine after that. */
+    private val outcomes = HashMap<AttemptId, Seq>()
+
+    /** Machines to which new orders go as soon as a record is committed. */
+    private val toPush = HashMap<Seq, MutableSet<MachineId>>()
+    private val rentSentAtMs = HashMap<String, Long>()
+    private val returnSentAtMs = HashMap<MachineId, Long>()
+
+    /** The records of this term's rentals and returns, by name: nothing is sent again before its record stands. */
+    private val fleetSeqs = HashMap<String, Seq>()
+    private val requestPrefix = "r-${term.revision}-"
+    private val gone = LinkedHashSet<MachineId>()
+
+    private var now = start
+    private val startedMs = start.steadyMs
+    private var heldUntilMs = start.steadyMs
+    private var version = OrderVersion.first(term.revision)
+    private var writeSinceMs: Long? = null
+    private var lastRoundMs = 0L
+    private var lastFleetMs = 0L
+    private var lastTrimMs = start.steadyMs
+    private var rentCount = 0L
+    private var demands: List<Fleet.Demand> = emptyList()
+    private var stepped = false
+
+    /** Until then a machine that this leader never answered may go on under an older leader's lease. */
+    private val inheritedLeaseEndMs =
+        start.steadyMs + tuning.graceMs + (deployment.leaseS * 1000).toLong() + tuning.leaseMarginMs
+
+    init {
+        snapshot.finals.forEach { ledger.restore(it.second) }
+        val folded = HashMap<String, Seq>()
+        snapshot.jobs.forEach { (cell, parts) ->
+            ledger.restore(cell)
+            ledger.job(cell.spec.id)?.partsWritten = parts
+            folded[Journal.JOB_PREFIX + cell.spec.id.text] = Seq(cell.upTo)
+        }
+        snapshot.fleet?.let {
+            fleet.restore(it)
+            folded[Journal.FLEET] = Seq(it.upTo)
+        }
+        for ((seq, record) in snapshot.records) {
+            for (event in record.events) replay(event, seq, folded)
+        }
+        journal.restore(snapshot.head, snapshot.records, snapshot.finals, folded)
+        ledger.jobs.forEach { job ->
+            // An older leader's orders may still be on their way, under versions below this term's first.
+            job.live.values.forEach { it.inherited = version }
+            stopIfOver(job)
+        }
+    }
+
+    val openJobs get() = ledger.jobs.size
+    val machineCount get() = fleet.machines.size
+
+    fun handle(batch: List<Command>, now: Moment): List<Effect> {
+        this.now = now
+        effects.clear()
+        for (command in batch) if (!stepped) take(command)
+        if (!stepped) {
+            watchMachines()
+            if (mayDecide()) {
+                round()
+                resizeFleet()
+            }
+            sendFleetOrders()
+            expireGates()
+            write()
+        }
+        return effects.toList()
+    }
+
+    private fun replay(event: Event, seq: Seq, folded: Map<String, Seq>) {
+        when (event) {
+            is Event.OfJob -> {
+                if (ledger.finalState(event.job) != null) return
+                if ((folded[Journal.JOB_PREFIX + event.job.text] ?: Seq.NONE) < seq) ledger.apply(event, seq)
+            }
+            is Event.OfFleet -> if ((folded[Journal.FLEET] ?: Seq.NONE) < seq) fleet.apply(event)
+        }
+    }
+
+    private fun take(command: Command) {
+        when (command) {
+            is Command.Submit -> submit(command)
+            is Command.Poll -> poll(command)
+            is Command.Abort -> abort(command)
+            is Command.Reported -> reported(command)
+            is Command.Inspected -> observe(command.report, answered = false)
+            is Command.LeaseHeld -> heldUntilMs = maxOf(heldUntilMs, command.untilMs)
+            is Command.Committed -> committed(command)
+            is Command.TypesListed -> typesListed(command.types)
+            is Command.MachinesListed -> command.machines.forEach(::listed)
+            is Command.RentalAnswered -> rentalAnswered(command)
+            is Command.Returned -> command.machines.forEach { confirmGone(it) }
+            Command.Tick -> Unit
+        }
+    }
+
+    // ---- the journal
+
+    private fun append(event: Event): Seq {
+        val seq = journal.append(event)
+        when (event) {
+            is Event.OfJob -> ledger.apply(event, seq)
+            is Event.OfFleet -> fleet.apply(event)
+        }
+        return seq
+    }
+
+    private fun write() {
+        val trimDue = now.steadyMs - lastTrimMs >= tuning.trimMs
+        val commit = journal.next(term, ledger, fleet::cell, trimDue) ?: return
+        if (trimDue) lastTrimMs = now.steadyMs
+        writeSinceMs = now.steadyMs
+        effects += Effect.Write(commit)
+    }
+
+    private fun committed(command: Command.Committed) {
+        journal.committed(command.seq)
+        writeSinceMs = null
+        version = maxOf(version, OrderVersion.first(command.revision))
+        val (open, rest) = gates.partition { it.seq <= journal.committed }
+        gates.clear()
+        gates += rest
+        open.forEach { effects += it.effect }
+        val machines = toPush.filterKeys { it <= journal.committed }
+        machines.keys.forEach(toPush::remove)
+        machines.values.flatMapTo(LinkedHashSet()) { it }.forEach { id -> fleet.machines[id]?.let(::push) }
+    }
+
+    private fun gate(seq: Seq, effect: Effect, patient: Boolean = false) {
+        if (seq <= journal.committed) {
+            effects += effect
+        } else {
+            gates += Gate(seq, effect, if (patient) null else now.steadyMs + tuning.intakeMs)
+        }
+    }
+
+    private fun expireGates() {
+        val late = gates.filter { it.giveUpMs != null && it.giveUpMs <= now.steadyMs }
+        if (late.isEmpty()) return
+        gates.removeAll(late.toSet())
+        late.forEach { gate ->
+            val answer = gate.effect as? Effect.Answer ?: return@forEach
+            effects += Effect.Answer(answer.request, UserReply.NotNow("the state service is slow"))
+        }
+    }
+
+    // ---- users
+
+    private fun leaseHeld() = now.steadyMs < heldUntilMs
+    private fun stalled() = writeSinceMs?.let { now.steadyMs - it > tuning.stallMs } == true
+
+    private fun answer(request: RequestId, reply: UserReply) {
+        effects += Effect.Answer(request, reply)
+    }
+
+    private fun submit(command: Command.Submit) {
+        val (request, spec) = command
+        if (!leaseHeld()) return answer(request, UserReply.NotNow("no lease"))
+        ledger.finalState(spec.id)?.let { return answer(request, UserReply.Accepted(spec.id, shown(it), known = true)) }
+        ledger.job(spec.id)?.let { job ->
+            return gate(job.acceptedSeq, Effect.Answer(request, UserReply.Accepted(job.id, shownState(job), known = true)))
+        }
+        if (fleet.types.isEmpty()) return answer(request, UserReply.NotNow("machine types aren't known yet"))
+        neverRuns(spec)?.let { return answer(request, UserReply.NeverRuns(it)) }
+        if (stalled()) return answer(request, UserReply.NotNow("the state service doesn't answer"))
+        val seq = append(Event.JobAccepted(spec, now.wallMs))
+        note(NoteLevel.DEBUG) { "job ${spec.id} class ${spec.className} team ${spec.team}: ${spec.tasks} tasks taken in" }
+        gate(seq, Effect.Answer(request, UserReply.Accepted(spec.id, ShownState.QUEUED, known = false)))
+    }
+
+    private fun neverRuns(spec: JobSpec): String? {
+        if (spec.team !in deployment.teams) return "unknown team"
+        val shape = spec.placementClass
+        val fits = fleet.types.values.any { type ->
+            type.holds(shape) && type.zones.any { fleet.allows(shape, Offer(type.name, it, spot = false)) }
+        }
+        if (!fits) return "no allowed machine type holds a task"
+        if (!quota.everAllows(spec)) return "more than the team's limit"
+        return null
+    }
+
+    private fun poll(command: Command.Poll) {
+        val (request, id) = command
+        if (!leaseHeld()) return answer(request, UserReply.NotNow("no lease"))
+        ledger.finalState(id)?.let { return answer(request, UserReply.Status(id, shown(it), 0, 0)) }
+        val job = ledger.job(id) ?: return answer(request, UserReply.NotFound)
+        val running = job.live.values.count { it.seen == TaskState.RUNNING }
+        gate(job.acceptedSeq, Effect.Answer(request, UserReply.Status(id, shownState(job), job.doneCount, running)))
+    }
+
+    private fun abort(command: Command.Abort) {
+        val (request, id) = command
+        if (!leaseHeld()) return answer(request, UserReply.NotNow("no lease"))
+        ledger.finalState(id)?.let { return answer(request, UserReply.Aborted(id, shown(it))) }
+        val job = ledger.job(id) ?: return answer(request, UserReply.NotFound)
+        if (!job.over) {
+            if (stalled()) return answer(request, UserReply.NotNow("the state service doesn't answer"))
+            append(Event.JobCancelled(id))
+            stopIfOver(job)
+            note(NoteLevel.DEBUG) { "job $id cancelled" }
+        }
+        val state = if (job.cancelled) ShownState.CANCELLED else ShownState.DONE
+        gate(job.cancelledSeq ?: job.finishedSeq!!, Effect.Answer(request, UserReply.Aborted(id, state)))
+    }
+
+    private fun shown(state: FinalState) = when (state) {
+        FinalState.DONE -> ShownState.DONE
+        FinalState.CANCELLED -> ShownState.CANCELLED
+    }
+
+    /** What may be told: an end that isn't committed yet isn't told. */
+    private fun shownState(job: Job): ShownState {
+        job.cancelledSeq?.let { if (it <= journal.committed) return ShownState.CANCELLED }
+        job.finishedSeq?.let { if (it <= journal.committed) return ShownState.DONE }
+        return if (job.live.values.any { it.seen == TaskState.RUNNING }) ShownState.RUNNING else ShownState.QUEUED
+    }
+
+    // ---- machines
+
+    private fun reported(command: Command.Reported) {
+        val (request, report) = command
+        if (now.steadyMs >= heldUntilMs + tuning.graceMs || !observe(report, answered = true)) {
+            effects += Effect.RefuseReport(request)
+            return
+        }
+        val machine = fleet.machines.getValue(report.machine)
+        val orders = ordersFor(machine)
+        if (orders.isNotEmpty()) version = version.next()
+        noteSent(orders)
+        effects += Effect.AnswerReport(request, version, orders)
+    }
+
+    /**
+     * Takes in a report; false if it must not be answered, as it is older than one seen before or the
+     * machine is gone. A report [answered] renews the machine's lease.
+     */
+    private fun observe(report: Report, answered: Boolean): Boolean {
+        if (report.version > version) {
+            stepDown("machine ${report.machine} has seen version ${report.version}, ours is $version")
+            return false
+        }
+        if (report.machine in gone) return false
+        val machine = fleet.machines[report.machine]
+            ?: fleet.adopt(report.machine, Offer(report.type, report.zone, report.spot), now.steadyMs)
+        if (machine.newerThan(report)) return false
+        if (report.session > machine.session) machine.forgetImages()
+        machine.addr = report.addr
+        machine.session = report.session
+        machine.seq = report.seq
+        machine.version = maxOf(machine.version, report.version)
+        machine.lastReportMs = now.steadyMs
+        if (answered) {
+            machine.leaseEndMs = now.steadyMs + (deployment.leaseS * 1000).toLong() + tuning.leaseMarginMs
+        }
+        machine.noticeAtMs = report.noticeS?.let { now.steadyMs + (it * 1000).toLong() }
+        machine.reported = report.tasks
+        if (machine.state == MachineState.STARTING) {
+            machine.state = MachineState.UP
+            machine.idleSinceMs = now.steadyMs
+            note(NoteLevel.INFO) { "machine ${machine.id} ${machine.offer} is up" }
+        }
+        reconcile(machine, report)
+        if (machine.noticeAtMs != null && machine.state == MachineState.UP) drain(machine)
+        return true
+    }
+
+    private fun reconcile(machine: Machine, report: Report) {
+        val shown = HashSet<AttemptId>()
+        for (task in report.tasks) {
+            shown += task.attempt
+            val attempt = ledger.attempt(task.attempt)?.takeIf { it.machine == machine.id }
+            if (attempt != null) {
+                seen(machine, attempt, task)
+            } else if (task.state == TaskState.EXITED && task.why == ExitReason.DONE) {
+                // A result is kept outside the machine, whichever attempt brought it about.
+                ledger.job(task.attempt.task.job)?.let { finish(it, task.attempt) }
+            }
+        }
+        for (attempt in ledger.attemptsOn(machine.id).toList()) {
+            if (attempt.id in shown) continue
+            attempt.seen = null
+            if (attempt.stop != null && surelyGone(attempt, machine)) over(attempt)
+        }
+        outcomes.keys.removeAll { it !in shown && outcomes.getValue(it) <= journal.committed && ledger.attempt(it) == null }
+        if (ledger.attemptsOn(machine.id).isNotEmpty()) machine.idleSinceMs = now.steadyMs
+    }
+
+    private fun seen(machine: Machine, attempt: Attempt, task: ReportedTask) {
+        attempt.seen = task.state
+        val job = attempt.job
+        when (task.state) {
+            TaskState.FETCHING -> Unit
+            TaskState.RUNNING, TaskState.SAVING -> {
+                machine.sawImage(job.spec.image, job.spec.imageGb)
+                if (attempt.runningSinceMs == null) attempt.runningSinceMs = now.steadyMs
+            }
+            TaskState.EXITED -> {
+                when (task.why) {
+                    ExitReason.DONE -> finish(job, attempt.id)
+                    ExitReason.ERROR -> {
+                        machine.faults++
+                        delay(job)
+                        note(NoteLevel.INFO) { "task ${attempt.id} failed on machine ${machine.id} (failure ${machine.faults} there)" }
+                    }
+                    ExitReason.UNKNOWN -> delay(job)
+                    ExitReason.NO_ROOM -> machine.fullUntilMs = now.steadyMs + (deployment.reportS * 1000).toLong()
+                    ExitReason.BUSY, ExitReason.STOPPED, null -> Unit
+                }
+                over(attempt)
+            }
+        }
+    }
+
+    /** A job whose tasks fail is tried ever more rarely, up to once in a lease. */
+    private fun delay(job: Job) {
+        job.failures++
+        val most = (deployment.leaseS * 1000).toLong()
+        job.notBeforeMs = now.steadyMs + minOf(most, tuning.roundMs shl minOf(job.failures - 1, 20))
+    }
+
+    private fun finish(job: Job, attempt: AttemptId) {
+        if (job.done[attempt.task.index]) return
+        outcomes[attempt] = append(Event.TaskDone(job.id, attempt.task.index))
+        job.failures = 0
+        val elsewhere = job.live[attempt.task.index]
+        if (elsewhere != null && elsewhere.id != attempt) elsewhere.stop = StopCause.STRAY
+        stopIfOver(job)
+        if (job.finishedSeq != null) note(NoteLevel.DEBUG) { "job ${job.id} is done" }
+    }
+
+    /** The attempt is surely gone; its task may start again. */
+    private fun over(attempt: Attempt) {
+        outcomes[attempt.id] = append(Event.AttemptOver(attempt.id.task.job, attempt.id.task.index, attempt.id.number))
+        val machine = fleet.machines[attempt.machine] ?: return
+        if (ledger.attemptsOn(machine.id).isEmpty()) machine.idleSinceMs = now.steadyMs
+    }
+
+    /**
+     * An attempt that a report lacks may yet be started by an order on its way, unless the machine has
+     * seen a higher version than any such order bears.
+     */
+    private fun surelyGone(attempt: Attempt, machine: Machine): Boolean {
+        val newest = attempt.newestStart ?: return true
+        return machine.version > newest
+    }
+
+    private fun stopIfOver(job: Job) {
+        if (job.over) job.live.values.forEach { it.stop = StopCause.CANCELLED }
+    }
+
+    /** The orders that bring the machine from what its newest report shows to what is intended. */
+    private fun ordersFor(machine: Machine): List<Order> {
+        if (version.countLeft == 0L) return emptyList()
+        val stops = ArrayList<Order>()
+        val starts = ArrayList<Order>()
+        val forgets = ArrayList<Order>()
+        val shown = HashMap<AttemptId, ReportedTask>()
+        for (task in machine.reported) {
+            shown[task.attempt] = task
+            val attempt = ledger.attempt(task.attempt)?.takeIf { it.machine == machine.id }
+            when {
+                task.state == TaskState.EXITED ->
+                    if (attempt == null && (outcomes[task.attempt] ?: Seq.NONE) <= journal.committed) {
+                        forgets += Order.Forget(task.attempt)
+                    }
+                attempt == null -> stops += Order.Stop(task.attempt, 0.0)
+                attempt.stop != null && mayStop(attempt) -> stop(attempt, task.state)?.let { stops += it }
+            }
+        }
+        for (attempt in ledger.attemptsOn(machine.id)) {
+            if (attempt.id in shown) continue
+            if (attempt.stop != null) {
+                // Nothing to stop, but the order's version shuts out a start that is still on its way.
+                if (attempt.newestStart != null && mayStop(attempt)) stops += Order.Stop(attempt.id, 0.0)
+            } else if (attempt.startSeq <= journal.committed && machine.state == MachineState.UP) {
+                starts += Order.Start(attempt.id)
+            }
+        }
+        return forgets + stops + starts
+    }
+
+    private fun mayStop(attempt: Attempt) =
+        attempt.stop != StopCause.CANCELLED ||
+            (attempt.job.cancelledSeq ?: attempt.job.finishedSeq ?: Seq.NONE) <= journal.committed
+
+    private fun stop(attempt: Attempt, state: TaskState): Order? {
+        val spec = attempt.job.spec
+        val saves = attempt.stop != StopCause.CANCELLED && attempt.stop != StopCause.STRAY && spec.checkpointS > 0
+        if (saves && state == TaskState.SAVING) return null
+        return Order.Stop(attempt.id, if (saves) spec.saveS else 0.0)
+    }
+
+    private fun noteSent(orders: List<Order>) {
+        for (order in orders) if (order is Order.Start) ledger.attempt(order.attempt)?.sent = version
+    }
+
+    private fun push(machine: Machine) {
+        val addr = machine.addr ?: return
+        if (machine.state == MachineState.STARTING) return
+        val orders = ordersFor(machine)
+        if (orders.isEmpty()) return
+        version = version.next()
+        noteSent(orders)
+        effects += Effect.Push(machine.id, addr, machine.session, version, orders)
+    }
+
+    private fun pushAfter(seq: Seq, machine: MachineId) {
+        toPush.getOrPut(seq) { LinkedHashSet() } += machine
+    }
+
+    /** A machine about to be taken gets nothing new, and what can be saved is saved in time. */
+    private fun drain(machine: Machine) {
+        for (attempt in ledger.attemptsOn(machine.id)) {
+            if (attempt.stop == null && attempt.job.spec.checkpointS > 0) attempt.stop = StopCause.DRAIN
+        }
+    }
+
+    private fun watchMachines() {
+        for (machine in fleet.machines.values.toList()) {
+            if (now.steadyMs >= maxOf(machine.leaseEndMs, if (machine.lastReportMs == null) inheritedLeaseEndMs else 0)) {
+                ledger.attemptsOn(machine.id).toList().forEach(::over)
+            }
+        }
+        for (id in ledger.machinesInUse.toList()) {
+            if (id !in fleet.machines && now.steadyMs >= inheritedLeaseEndMs) ledger.attemptsOn(id).toList().forEach(::over)
+        }
+        if (!mayDecide() || now.steadyMs - startedMs < tuning.silentMs + tuning.takeOverMs) return
+        val up = fleet.machines.values.filter { it.state == MachineState.UP }
+        val silent = up.filter { now.steadyMs - (it.lastReportMs ?: startedMs) >= tuning.silentMs }
+        // Many at once: more likely we are the ones cut off.
+        if (silent.size <= maxOf(1, up.size / 2)) silent.forEach { retire(it.id, "it is silent") }
+        ledger.machinesInUse.filter { it !in fleet.machines && it !in fleet.retired }
+            .forEach { retire(it, "it hasn't reported since the take-over") }
+        fleet.neverUp(now.steadyMs).forEach { retire(it.id, "it never came up") }
+    }
+
+    private fun retire(id: MachineId, reason: String) {
+        val seq = append(Event.MachineRetired(id))
+        note(NoteLevel.INFO) { "machine $id is returned: $reason" }
+        gate(seq, Effect.Return(listOf(id)), patient = true)
+        returnSentAtMs[id] = now.steadyMs
+        fleetSeqs[id.text] = seq
+    }
+
+    private fun confirmGone(id: MachineId) {
+        if (id !in fleet.retired) return
+        ledger.attemptsOn(id).toList().forEach(::over)
+        append(Event.MachineGone(id))
+        fleetSeqs.remove(id.text)
+        gone += id
+        if (gone.size > GONE_KEPT) gone.remove(gone.first())
+    }
+
+    // ---- the cloud
+
+    private fun typesListed(types: List<MachineType>) {
+        fleet.types = types.associateBy { it.name }
+    }
+
+    private fun listed(listed: ListedMachine) {
+        if (listed.machine in gone) return
+        val machine = fleet.machines[listed.machine] ?: fleet.adopt(
+            listed.machine, listed.offer, now.steadyMs - (listed.ageS * 1000).toLong(),
+        )
+        machine.listed = true
+        if (machine.addr == null) machine.addr = listed.addr
+        if (listed.state == ListedState.FAILED && machine.state != MachineState.RETIRED && mayDecide()) {
+            retire(machine.id, "it has failed")
+        }
+    }
+
+    private fun rentalAnswered(command: Command.RentalAnswered) {
+        rentSentAtMs.remove(command.request)
+        fleetSeqs.remove(command.request)
+        val asked = fleet.rentals[command.request] ?: return
+        when (val answer = command.answer) {
+            is RentalAnswer.Rented -> {
+                answer.machines.filter { it !in gone }.forEach { fleet.adopt(it, asked.offer, now.steadyMs) }
+                if (answer.machines.size < asked.count) fleet.refused(asked.offer, now.steadyMs)
+                append(Event.RentalSettled(command.request))
+                note(NoteLevel.INFO) { "rental ${command.request}: ${answer.machines.size} of ${asked.count} ${asked.offer}" }
+            }
+            RentalAnswer.NoCapacity, RentalAnswer.Rejected -> {
+                fleet.refused(asked.offer, now.steadyMs)
+                append(Event.RentalSettled(command.request))
+                note(NoteLevel.INFO) { "rental ${command.request}: refused ${asked.offer}" }
+            }
+            RentalAnswer.Unknown -> rentSentAtMs[command.request] = now.steadyMs
+        }
+    }
+
+    /** Rentals and returns whose answer is lost are sent again under the same names. */
+    private fun sendFleetOrders() {
+        if (now.steadyMs - startedMs < tuning.takeOverMs) return
+        val againMs = (deployment.reportS * 1000).toLong()
+        for (asked in fleet.rentals.values) {
+            val sent = rentSentAtMs[asked.request]
+            if (recorded(asked.request) && (sent == null || now.steadyMs - sent >= againMs)) {
+                rentSentAtMs[asked.request] = now.steadyMs
+                effects += Effect.Rent(asked)
+            }
+        }
+        val again = fleet.retired.filter { id ->
+            val sent = returnSentAtMs[id]
+            recorded(id.text) && (sent == null || now.steadyMs - sent >= againMs)
+        }.take(RETURNS_PER_CALL)
+        if (again.isNotEmpty()) {
+            again.forEach { returnSentAtMs[it] = now.steadyMs }
+            effects += Effect.Return(again)
+        }
+        returnSentAtMs.keys.retainAll(fleet.retired)
+    }
+
+    private fun recorded(name: String) = (fleetSeqs[name] ?: Seq.NONE) <= journal.committed
+
+    // ---- decisions
+
+    /** No new decision before the machines had time to report, and none without a lease. */
+    private fun mayDecide() = leaseHeld() && now.steadyMs - startedMs >= tuning.takeOverMs && fleet.types.isNotEmpty()
+
+    private fun round() {
+        if (now.steadyMs - lastRoundMs < tuning.roundMs || !journal.idle) return
+        lastRoundMs = now.steadyMs
+        val usable = fleet.machines.values.filter {
+            it.state == MachineState.UP && it.noticeAtMs == null && it.fullUntilMs <= now.steadyMs &&
+                now.steadyMs - (it.lastReportMs ?: 0) < tuning.silentMs
+        }
+        val jobs = ledger.jobs.filter { it.waiting > 0 && it.notBeforeMs <= now.steadyMs }
+            .sortedWith(compareBy<Job>({ it.spec.priority }, { !quota.insideGuarantee(it.spec) }, { it.wallMs }))
+        val stuck = HashSet<PlacementClass>()
+        val lacking = LinkedHashMap<PlacementClass, Int>()
+        for (job in jobs) place(job, usable, stuck, lacking)
+        demands = lacking.map { Fleet.Demand(it.key, it.value) }
+    }
+
+    private fun place(
+        job: Job,
+        usable: List<Machine>,
+        stuck: MutableSet<PlacementClass>,
+        lacking: MutableMap<PlacementClass, Int>,
+    ) {
+        val shape = job.spec.placementClass
+        while (true) {
+            val index = job.nextWaiting() ?: return
+            if (!quota.allows(job.spec)) return
+            val machine = if (shape in stuck) null else placement.choose(job, usable)
+            if (machine == null) {
+                // What fits nowhere for one job fits nowhere for its like, unless other tasks of the job decide.
+                if (!job.spec.oneZone && !job.spec.spread) stuck += shape
+                lacking.merge(shape, minOf(job.waiting, quota.roomFor(job.spec)), Int::plus)
+                return
+            }
+            val seq = append(Event.AttemptStarted(job.id, index, job.lastNumber + 1, machine.id))
+            machine.idleSinceMs = now.steadyMs
+            pushAfter(seq, machine.id)
+        }
+    }
+
+    private fun resizeFleet() {
+        if (now.steadyMs - lastFleetMs < FLEET_ROUND_MS) return
+        lastFleetMs = now.steadyMs
+        val room = (deployment.cloudRps / 2).toInt().coerceAtLeast(1) - fleet.rentals.size
+        if (room > 0) {
+            for ((offer, count) in fleet.wanted(demands, now.steadyMs, room)) {
+                val asked = Event.RentalAsked("$requestPrefix${rentCount++}", offer, count)
+                val seq = append(asked)
+                rentSentAtMs[asked.request] = now.steadyMs
+                fleetSeqs[asked.request] = seq
+                gate(seq, Effect.Rent(asked), patient = true)
+                note(NoteLevel.INFO) { "rental ${asked.request}: asking for $count $offer" }
+            }
+        }
+        fleet.idle(now.steadyMs).forEach { retire(it.id, "it is idle") }
+    }
+
+    private fun stepDown(reason: String) {
+        stepped = true
+        effects += Effect.StepDown(reason)
+    }
+
+    private inline fun note(level: NoteLevel, text: () -> String) {
+        effects += Effect.Note(level, text())
+    }
+
+    private companion object {
+        /** Names of machines that are gone, kept to tell late reports from new machines. */
+        const val GONE_KEPT = 4096
+
+        /** The page's limit for one call. */
+        const val RETURNS_PER_CALL = 100
+
+        /** The fleet is looked at about as often as machines' lists can show anything new. */
+        const val FLEET_ROUND_MS = 1000L
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/cleathitch/core/Placement.kt
@@ -0,0 +1,63 @@
+package cleathitch.core
+
+import kotlin.random.Random
+
+/** Where the next task of a job goes. */
+class Placement(
+    private val fleet: Fleet,
+    private val ledger: Ledger,
+    private val sample: Int,
+    private val random: Random,
+) {
+    /** Best fit among a few machines that have room; all machines are looked at when none of them fits. */
+    fun choose(job: Job, usable: List<Machine>): Machine? {
+        val shape = job.spec.placementClass
+        val zones = zonesFor(job)
+        fun fits(machine: Machine) =
+            (zones == null || machine.offer.zone in zones) && fleet.allows(shape, machine.offer) && fleet.roomFor(shape, machine) > 0
+
+        var best: Machine? = null
+        var bestCost = Double.MAX_VALUE
+        repeat(minOf(sample, usable.size)) {
+            val machine = usable[random.nextInt(usable.size)]
+            if (fits(machine)) {
+                val cost = cost(shape, machine)
+                if (cost < bestCost) {
+                    best = machine
+                    bestCost = cost
+                }
+            }
+        }
+        // A sampled fit without the image would make the task wait for a fetch that another spares it.
+        if (best?.hasImage(shape.image) == true) return best
+        return usable.filter(::fits).minByOrNull { cost(shape, it) }
+    }
+
+    /**
+     * The zones in which a task of the job may start, null for any. Tasks that may still be running
+     * count where they may be.
+     */
+    fun zonesFor(job: Job): Set<String>? {
+        val spec = job.spec
+        if (!spec.oneZone && !spec.spread) return null
+        val byZone = HashMap<String, Int>()
+        for (attempt in job.live.values) {
+            val zone = fleet.machines[attempt.machine]?.offer?.zone ?: return emptySet()
+            byZone.merge(zone, 1, Int::plus)
+        }
+        val all = fleet.types.values.flatMapTo(HashSet()) { it.zones }
+        if (spec.oneZone && byZone.isNotEmpty()) return byZone.keys
+        if (spec.spread) all.removeAll { (byZone[it] ?: 0) >= spec.maxPerZone }
+        return all
+    }
+
+    /** Smaller is better: the image there, the kind of machine meant for the work, then the tightest fit. */
+    private fun cost(shape: PlacementClass, machine: Machine): Double {
+        val type = machine.type ?: return Double.MAX_VALUE
+        val load = ledger.loadOf(machine.id)
+        val leftover = (type.cpus - (load?.cpus ?: 0.0) - shape.cpus) / type.cpus
+        val fetch = if (machine.hasImage(shape.image)) 0.0 else 2.0
+        val kind = if (shape.spotAllowed && !machine.offer.spot) 4.0 else 0.0
+        return fetch + kind + leftover + machine.faults
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/cleathitch/core/Quota.kt
@@ -0,0 +1,42 @@
+package cleathitch.core
+
+/** A team's limit, counted over everything that may still be running. */
+class Quota(private val teams: Map<String, Team>, private val ledger: Ledger) {
+    fun allows(spec: JobSpec): Boolean {
+        val team = teams[spec.team] ?: return false
+        val load = ledger.loadOfTeam(spec.team)
+        return within((load?.cpus ?: 0.0) + spec.cpus, team.maxCpus) &&
+            within((load?.gpus ?: 0.0) + spec.gpus, team.maxGpus)
+    }
+
+    /** Whether the job could ever run: an array needs room for a task, a service for all. */
+    fun everAllows(spec: JobSpec): Boolean {
+        val team = teams[spec.team] ?: return false
+        val count = if (spec.kind == JobKind.SERVICE) spec.tasks else 1
+        return within(spec.cpus * count, team.maxCpus) && within(spec.gpus * count, team.maxGpus)
+    }
+
+    /** Whether one more task stays inside what the team is guaranteed. */
+    fun insideGuarantee(spec: JobSpec): Boolean {
+        val team = teams[spec.team] ?: return false
+        val load = ledger.loadOfTeam(spec.team)
+        return (load?.cpus ?: 0.0) + spec.cpus <= team.cpus + ROUNDING &&
+            (load?.gpus ?: 0.0) + spec.gpus <= team.gpus + ROUNDING
+    }
+
+    /** How many more tasks like this the team's limit allows now. */
+    fun roomFor(spec: JobSpec): Int {
+        val team = teams[spec.team] ?: return 0
+        val load = ledger.loadOfTeam(spec.team)
+        fun room(use: Double, each: Double, limit: Double?) =
+            if (limit == null || each <= 0) Int.MAX_VALUE else ((limit - use + ROUNDING) / each).toInt().coerceAtLeast(0)
+        return minOf(room(load?.cpus ?: 0.0, spec.cpus, team.maxCpus), room(load?.gpus ?: 0.0, spec.gpus, team.maxGpus))
+    }
+
+    private fun within(use: Double, limit: Double?) = limit == null || use <= limit + ROUNDING
+
+    private companion object {
+        /** Sums of decimal amounts differ from the exact ones by far less than any amount asked for. */
+        const val ROUNDING = 1e-6
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/cleathitch/core/Tuning.kt
@@ -0,0 +1,55 @@
+package cleathitch.core
+
+import kotlin.math.max
+import kotlin.math.min
+
+/** The design's periods and margins, each a ratio to a figure of the settings. */
+data class Tuning(
+    val roundMs: Long,
+    val trimMs: Long,
+    val sample: Int,
+    val graceMs: Long,
+    val leaseMarginMs: Long,
+    val silentMs: Long,
+    val takeOverMs: Long,
+    val stallMs: Long,
+    val intakeMs: Long,
+) {
+    companion object {
+        /** The design's own values. */
+        private const val ROUND_MS = 2000.0
+        private const val TRIM_MS = 10_000L
+        private const val SAMPLE = 3
+
+        /** The page's bound on how far steady clocks drift apart, doubled for two clocks. */
+        const val DRIFT = 0.001
+
+        fun of(deployment: Deployment): Tuning {
+            val wait = deployment.objectives.mapNotNull {
+                when (it) {
+                    is Objective.Wait -> it.withinS
+                    is Objective.Guarantee -> it.withinS
+                    is Objective.Finished -> null
+                }
+            }.minOrNull()
+            // Four rounds inside the shortest wait that was promised; a round writes two changes (its
+            // record and the head) and may take half of what the state service allows.
+            val byObjective = if (wait == null) ROUND_MS else min(ROUND_MS, wait * 1000 / 4)
+            val byBudget = 1000 * 2 / (deployment.stateWriteRps / 2)
+            val reportMs = deployment.reportS * 1000
+            // Cancelled tasks must be gone in time even if an old leader answered until its grace was over.
+            val spareMs = (deployment.cancelS - deployment.leaseS) * 1000
+            return Tuning(
+                roundMs = max(byObjective, byBudget).toLong(),
+                trimMs = TRIM_MS,
+                sample = SAMPLE,
+                graceMs = (spareMs * 0.5).toLong().coerceAtLeast(0),
+                leaseMarginMs = (deployment.leaseS * 1000 * DRIFT + reportMs / 4).toLong(),
+                silentMs = (reportMs * 3).toLong(),
+                takeOverMs = (reportMs * 1.25).toLong(),
+                stallMs = (reportMs / 4).toLong(),
+                intakeMs = (reportMs / 2).toLong(),
+            )
+        }
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/cleathitch/peers/PeerClient.kt
@@ -0,0 +1,29 @@
+package cleathitch.peers
+
+import cleathitch.http.Address
+import cleathitch.http.Caller
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpMethod
+import kotlinx.serialization.SerializationException
+import org.slf4j.LoggerFactory
+
+/** Asks other nodes; null is no answer. */
+class PeerClient(vertx: Vertx) {
+    private val caller = Caller(vertx, connections = 16, connectMs = 500)
+
+    suspend fun ask(peer: Address, request: PeerRequest, timeoutMs: Long): PeerReply? {
+        val answer = caller.call(peer, HttpMethod.POST, PATH, PeerCodec.encode(request), timeoutMs) ?: return null
+        if (answer.status != 200) return null
+        return try {
+            PeerCodec.decodeReply(answer.body)
+        } catch (e: SerializationException) {
+            log.error("a garbled answer from peer {}: {}", peer, e.message)
+            null
+        }
+    }
+
+    companion object {
+        const val PATH = "/peer"
+        private val log = LoggerFactory.getLogger("cleathitch.peers")
+    }
+}
