--- a/src/main/kotlin/cleathitch/protocol/Wire.kt
+++ b/src/main/kotlin/cleathitch/protocol/Wire.kt
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper
 import com.fasterxml.jackson.databind.node.JsonNodeFactory
 import com.fasterxml.jackson.databind.node.ObjectNode
+import org.msgpack.core.MessagePack
 import org.msgpack.jackson.dataformat.MessagePackFactory
 
 /** A message that isn't as the protocol's page says. */
@@ -16,9 +17,7 @@
 
 /** MessagePack bodies as Jackson trees: cheap to start, and every field is looked at by name anyway. */
 object Wire {
-    private val mapper = ObjectMapper(MessagePackFactory())
-        .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
-        .enable(DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY)
+    private val mapper = ObjectMapper(MessagePackFactory()).enable(DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY)
 
     const val MAX_BODY = 64 * 1024
 
@@ -29,7 +28,15 @@
     fun decodeMap(bytes: ByteArray): ObjectNode {
         if (bytes.isEmpty()) throw Malformed("the body is empty")
         val node = try {
+            // Jackson's parser for MessagePack ends in an error instead of a last token, so that its own
+            // check for trailing tokens can't be used.
+            MessagePack.newDefaultUnpacker(bytes).use {
+                it.skipValue()
+                if (it.totalReadBytes != bytes.size.toLong()) throw Malformed("bytes are left over")
+            }
             mapper.readTree(bytes)
+        } catch (e: Malformed) {
+            throw e
         } catch (e: JsonProcessingException) {
             throw Malformed("not MessagePack: ${e.originalMessage}")
         } catch (e: RuntimeException) {
