--- a/src/main/kotlin/cleathitch/core/Engine.kt
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -324,7 +324,7 @@
         val job = attempt.job
         when (task.state) {
             TaskState.FETCHING -> Unit
-            TaskState.RUNNING, TaskState.SAVING -> {
+            TaskState.WAITING, TaskState.RUNNING, TaskState.SAVING -> {
                 machine.sawImage(job.spec.image, job.spec.imageGb)
                 if (attempt.runningSinceMs == null) attempt.runningSinceMs = now.steadyMs
             }
@@ -338,7 +338,7 @@
                     }
                     ExitReason.UNKNOWN -> delay(job)
                     ExitReason.NO_ROOM -> machine.fullUntilMs = now.steadyMs + (deployment.reportS * 1000).toLong()
-                    ExitReason.BUSY, ExitReason.STOPPED, null -> Unit
+                    ExitReason.BUSY, ExitReason.STOPPED, ExitReason.PEERS_MISSING, null -> Unit
                 }
                 over(attempt)
             }
@@ -574,6 +574,7 @@
         lacking: MutableMap<PlacementClass, Int>,
     ) {
         val shape = job.spec.placementClass
+        if (job.spec.kind == JobKind.GANG) return placeGang(job, usable, lacking)
         while (true) {
             val index = job.nextWaiting() ?: return
             if (!quota.allows(job.spec)) return
@@ -584,12 +585,28 @@
                 lacking.merge(shape, minOf(job.waiting, quota.roomFor(job.spec)), Int::plus)
                 return
             }
-            val seq = append(Event.AttemptStarted(job.id, index, job.lastNumber + 1, machine.id))
-            machine.idleSinceMs = now.steadyMs
-            pushAfter(seq, machine.id)
+            start(job, index, machine)
         }
     }
 
+    /** A gang is started whole, and again only when nothing of an earlier start is left. */
+    private fun placeGang(job: Job, usable: List<Machine>, lacking: MutableMap<PlacementClass, Int>) {
+        if (job.live.isNotEmpty() || quota.roomFor(job.spec) < job.waiting) return
+        val machines = placement.chooseAll(job, usable)
+        if (machines == null) {
+            lacking.merge(job.spec.placementClass, job.waiting, Int::plus)
+            return
+        }
+        journal.keepTogether(machines.size)
+        for (machine in machines) start(job, job.nextWaiting() ?: return, machine)
+    }
+
+    private fun start(job: Job, index: Int, machine: Machine) {
+        val seq = append(Event.AttemptStarted(job.id, index, job.lastNumber + 1, machine.id))
+        machine.idleSinceMs = now.steadyMs
+        pushAfter(seq, machine.id)
+    }
+
     private fun resizeFleet() {
         if (now.steadyMs - lastFleetMs < FLEET_ROUND_MS) return
         lastFleetMs = now.steadyMs
--- a/src/main/kotlin/cleathitch/core/Journal.kt
+++ b/src/main/kotlin/cleathitch/core/Journal.kt
@@ -33,6 +33,7 @@
     interface Sizes {
         fun of(event: Event): Int
         fun of(cell: JobCell): Int
+        val ofStart: Int
     }
 
     private class Building(val seq: Seq) {
@@ -78,6 +79,17 @@
         return current.seq
     }
 
+    /** Makes room for as many starts in one record, if one can hold them. */
+    fun keepTogether(starts: Int) {
+        val size = starts * sizes.ofStart
+        val limit = deployment.stateValueBytes * RECORD_FILL
+        val current = queue.lastOrNull() ?: return
+        if (size <= limit && current.bytes + size > limit) {
+            last = last.next()
+            queue.addLast(Building(last))
+        }
+    }
+
     /** Restores the position; [records] are those found, oldest first. */
     fun restore(head: Seq, records: List<Pair<Seq, Record>>, finals: List<Pair<Long, FinalsCell>>, folded: Map<String, Seq>) {
         last = head
--- a/src/main/kotlin/cleathitch/core/Model.kt
+++ b/src/main/kotlin/cleathitch/core/Model.kt
@@ -3,7 +3,16 @@
 import kotlinx.serialization.Serializable
 
 @Serializable
-enum class JobKind { ARRAY, SERVICE }
+enum class JobKind {
+    /** Independent tasks. */
+    ARRAY,
+
+    /** Tasks that run only together, and so are started together or not at all. */
+    GANG,
+
+    /** Replicas that run until the job is cancelled. */
+    SERVICE,
+}
 
 /** From the most to the least urgent. */
 @Serializable
@@ -116,9 +125,27 @@
     val saved: Boolean = false,
 )
 
-enum class TaskState { FETCHING, RUNNING, SAVING, EXITED }
+enum class TaskState {
+    FETCHING,
 
-enum class ExitReason { DONE, STOPPED, ERROR, NO_ROOM, BUSY, UNKNOWN }
+    /** A gang's task that is on its machine and waits for the others. */
+    WAITING,
+    RUNNING,
+    SAVING,
+    EXITED,
+}
+
+enum class ExitReason {
+    DONE,
+    STOPPED,
+    ERROR,
+    NO_ROOM,
+    BUSY,
+    UNKNOWN,
+
+    /** A gang's task ended because others of its gang were missing. */
+    PEERS_MISSING,
+}
 
 /** A machine's report. The larger ([session], [seq]) is the newer. */
 data class Report(
--- a/src/main/kotlin/cleathitch/core/Placement.kt
+++ b/src/main/kotlin/cleathitch/core/Placement.kt
@@ -33,6 +33,28 @@
         return usable.filter(::fits).minByOrNull { cost(shape, it) }
     }
 
+    /** A machine for each waiting task of a gang, or null unless all find one at once. */
+    fun chooseAll(job: Job, usable: List<Machine>): List<Machine>? {
+        val shape = job.spec.placementClass
+        val zones = zonesFor(job)
+        val allowed = usable.filter { (zones == null || it.offer.zone in zones) && fleet.allows(shape, it.offer) }
+            .sortedBy { cost(shape, it) }
+        val choices = if (job.spec.oneZone) allowed.groupBy { it.offer.zone }.values else listOf(allowed)
+        return choices.firstNotNullOfOrNull { machines ->
+            val chosen = ArrayList<Machine>()
+            val inZone = HashMap<String, Int>()
+            for (machine in machines) {
+                repeat(fleet.roomFor(shape, machine)) {
+                    if (chosen.size < job.waiting && (inZone[machine.offer.zone] ?: 0) < job.spec.maxPerZone) {
+                        inZone.merge(machine.offer.zone, 1, Int::plus)
+                        chosen += machine
+                    }
+                }
+            }
+            chosen.takeIf { it.size == job.waiting }
+        }
+    }
+
     /**
      * The zones in which a task of the job may start, null for any. Tasks that may still be running
      * count where they may be.
--- a/src/main/kotlin/cleathitch/protocol/UserWire.kt
+++ b/src/main/kotlin/cleathitch/protocol/UserWire.kt
@@ -33,6 +33,7 @@
             team = name(map, "ownerCrew"),
             kind = when (map.text("oficio")) {
                 "array" -> JobKind.ARRAY
+                "ensemble" -> JobKind.GANG
                 "daemon" -> JobKind.SERVICE
                 else -> throw Malformed("oficio is unknown")
             },
--- a/src/main/kotlin/cleathitch/protocol/WorkerWire.kt
+++ b/src/main/kotlin/cleathitch/protocol/WorkerWire.kt
@@ -34,6 +34,7 @@
     private fun task(node: JsonNode): ReportedTask {
         val state = when (val name = node.text("estado")) {
             "pulling" -> TaskState.FETCHING
+            "waiting" -> TaskState.WAITING
             "running" -> TaskState.RUNNING
             "flushing" -> TaskState.SAVING
             "exited" -> TaskState.EXITED
@@ -54,6 +55,7 @@
         "no_room" -> ExitReason.NO_ROOM
         "in_use" -> ExitReason.BUSY
         "unknown" -> ExitReason.UNKNOWN
+        "peers", "alone" -> ExitReason.PEERS_MISSING
         else -> null
     }
 
--- a/src/main/kotlin/cleathitch/state/Stored.kt
+++ b/src/main/kotlin/cleathitch/state/Stored.kt
@@ -39,6 +39,8 @@
     private const val EVENT_BYTES = 140
     private const val LIVE_BYTES = 90
 
+    override val ofStart = EVENT_BYTES
+
     override fun of(event: Event): Int = when (event) {
         is Event.JobAccepted -> of(event.spec) + EVENT_BYTES
         else -> EVENT_BYTES
--- a/src/test/kotlin/cleathitch/protocol/UserWireTest.kt
+++ b/src/test/kotlin/cleathitch/protocol/UserWireTest.kt
@@ -52,7 +52,7 @@
             "id of another form" to { it.put("nameId", "job-1") },
             "id with a newline" to { it.put("nameId", "j-000412\n") },
             "id a number" to { it.put("nameId", 412) },
-            "unknown kind" to { it.put("oficio", "ensemble") },
+            "unknown kind" to { it.put("oficio", "service") },
             "unknown priority" to { it.put("urgencia", "production") },
             "no tasks" to { it.put("tareas", 0) },
             "too many tasks" to { it.put("tareas", 100_001) },
