--- a/src/main/kotlin/cleathitch/Node.kt
+++ b/src/main/kotlin/cleathitch/Node.kt
@@ -180,6 +180,7 @@
         val report = try {
             WorkerWire.report(body)
         } catch (e: Malformed) {
+            log.error("a garbled report: {}", e.message)
             return HttpReply(400, UserWire.error(e.message.orEmpty()))
         }
         leading?.let { return beatHere(it, report) }
--- a/src/main/kotlin/cleathitch/core/Engine.kt
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -340,6 +340,9 @@
                     ExitReason.NO_ROOM -> machine.fullUntilMs = now.steadyMs + (deployment.reportS * 1000).toLong()
                     ExitReason.BUSY, ExitReason.STOPPED, ExitReason.PEERS_MISSING, null -> Unit
                 }
+                if (task.why != ExitReason.DONE) {
+                    note(NoteLevel.DEBUG) { "task ${attempt.id} ended on machine ${machine.id}: ${task.why}" }
+                }
                 over(attempt)
             }
         }
@@ -598,13 +601,16 @@
             return
         }
         journal.keepTogether(machines.size)
-        for (machine in machines) start(job, job.nextWaiting() ?: return, machine)
+        // The tasks of a gang find each other by their attempt, so one number serves them all.
+        val number = job.lastNumber + 1
+        for (machine in machines) start(job, job.nextWaiting() ?: return, machine, number)
     }
 
-    private fun start(job: Job, index: Int, machine: Machine) {
-        val seq = append(Event.AttemptStarted(job.id, index, job.lastNumber + 1, machine.id))
+    private fun start(job: Job, index: Int, machine: Machine, number: Long = job.lastNumber + 1) {
+        val seq = append(Event.AttemptStarted(job.id, index, number, machine.id))
         machine.idleSinceMs = now.steadyMs
         pushAfter(seq, machine.id)
+        note(NoteLevel.DEBUG) { "task ${job.id}/$index#${job.lastNumber} goes to machine ${machine.id}" }
     }
 
     private fun resizeFleet() {
