--- a/src/main/kotlin/cleathitch/cli/Main.kt
+++ b/src/main/kotlin/cleathitch/cli/Main.kt
@@ -15,7 +15,7 @@
     description = ["A cluster scheduler that keeps its state in a small consistent store."],
     mixinStandardHelpOptions = true,
     versionProvider = Version::class,
-    subcommands = [Serve::class, CheckConfig::class],
+    subcommands = [Serve::class, CheckConfig::class, Rehearsal::class],
 )
 class Main : Runnable {
     override fun run() = throw CommandLine.ParameterException(CommandLine(this), "a command is missing: serve or check-config")
--- /dev/null
+++ b/src/main/kotlin/cleathitch/cli/Rehearsal.kt
@@ -0,0 +1,101 @@
+package cleathitch.cli
+
+import cleathitch.App
+import cleathitch.config.Settings
+import cleathitch.http.Address
+import cleathitch.http.Caller
+import cleathitch.http.Front
+import cleathitch.protocol.HttpReply
+import cleathitch.protocol.Wire
+import com.fasterxml.jackson.databind.node.ObjectNode
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpMethod
+import io.vertx.kotlin.coroutines.dispatcher
+import java.net.ServerSocket
+import java.nio.file.Files
+import kotlin.system.exitProcess
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import picocli.CommandLine.Command
+
+/**
+ * Leads for a moment on loopback, with a platform that says yes to everything, and ends. The build runs
+ * it so that the JVM can archive the classes that a controller needs: on a third of a core, loading
+ * them anew takes a controller seconds after each restart.
+ */
+@Command(name = "rehearse", hidden = true, description = ["Loads what a controller needs, for the build's class archive."])
+class Rehearsal : Runnable {
+    private val vertx = Vertx.vertx()
+    private val caller = Caller(vertx, connections = 4)
+    private var revision = 1L
+
+    override fun run() {
+        val scope = CoroutineScope(vertx.dispatcher() + SupervisorJob())
+        scope.launch {
+            val platform = Front(vertx, scope, Wire.MAX_BODY) { method, path, _ -> platform(method, path) }
+                .listen(Address("127.0.0.1", 0))
+            val (bind, internal) = List(2) { ServerSocket(0) }.onEach { it.close() }.map { it.localPort }
+            val file = Files.createTempFile("cleathitch", ".json")
+            Files.writeString(file, settings(bind, internal, platform))
+            App(Settings.read(file)).start()
+            Files.delete(file)
+            val node = Address("127.0.0.1", bind)
+            repeat(ROUNDS) { round ->
+                caller.call(node, HttpMethod.GET, "/ready", null, 1000)
+                caller.call(node, HttpMethod.POST, "/submissions", Wire.encode(submission(round)), 1000)
+                caller.call(node, HttpMethod.GET, "/submissions/j-%06d".format(round), null, 1000)
+                caller.call(node, HttpMethod.POST, "/submissions/j-%06d/abort".format(round / 2), null, 1000)
+                caller.call(node, HttpMethod.POST, "/agent/beat", Wire.encode(beat(round)), 1000)
+                delay(PAUSE_MS)
+            }
+            caller.call(Address("127.0.0.1", internal), HttpMethod.GET, "/metrics", null, 1000)
+            exitProcess(0)
+        }
+    }
+
+    private fun platform(method: String, path: String): HttpReply {
+        val map = Wire.newMap().put("asiento", ++revision).put("arriendo", 1).put("truncated", false)
+        map.putArray("log")
+        map.putArray("entries")
+        map.putArray("burros").let { if (method == "POST" && path == "/hosts") it.add("vm-000001") }
+        map.putArray("hornadas").addObject().put("label", "m").put("vcpus", 4).put("gpus", 0).put("memoryGb", 16)
+            .put("localGb", 10).put("fetchGbPerS", 1).put("rate", 1).put("spotPrice", 0.5).put("bootS", 10)
+            .putArray("comarcas").add("z")
+        return HttpReply(200, Wire.encode(map))
+    }
+
+    private fun submission(round: Int): ObjectNode = Wire.newMap().put("nameId", "j-%06d".format(round)).put("cuadrilla", "c")
+        .put("ownerCrew", "t").put("oficio", "array").put("urgencia", "normal").put("tareas", 2).put("vcpus", 1.0)
+        .put("gpus", 0.0).put("memoryGb", 1.0).put("imagen", "i").put("pullGb", 1.0).put("oneZone", false)
+        .put("scatter", false).put("prestados", true).put("aproxS", 1.0).put("hitoS", 0.0).put("guardadoS", 0.0)
+
+    private fun beat(round: Int): ObjectNode {
+        val map = Wire.newMap().put("burro", "vm-000001").put("addr", "127.0.0.1:1").put("hornada", "m").put("comarca", "z")
+            .put("prestados", true).put("jornada", 1).put("folio", round).put("vara", 0)
+        val tasks = map.putArray("tareas")
+        for (index in 0 until minOf(round, 2)) {
+            val task = tasks.addObject().put("tarea", "j-000000/$index").put("intento", index + 1)
+            if (round < ROUNDS / 2) task.put("estado", "running") else task.put("estado", "exited").put("motivo", "done")
+        }
+        return map
+    }
+
+    private fun settings(bind: Int, internal: Int, platform: Int) = """
+        {"member":"n0","domain":"z","bind":"127.0.0.1:$bind","internal_addr":"127.0.0.1:$internal",
+         "seeds":[{"member":"n1","domain":"z","addr":"127.0.0.1:$internal"}],
+         "outside":{"cloud":"127.0.0.1:$platform","state":"127.0.0.1:$platform"},
+         "cluster":{"initial_size":2,"zones":["z"],"objectives":[],
+          "teams":[{"name":"t","cpus":0,"cpus_max":0,"gpus":0,"gpus_max":0}],
+          "workers":{"report_s":0.4,"lease_s":4,"cancel_s":8},
+          "state":{"rps":1000,"write_rps":1000,"value_kb":16,"txn_ops":32},
+          "cloud":{"rps":100,"list_lag_s":0.2},
+          "resources":{"cpu":1,"memory_mb":300,"max_sockets":100},"skew_ms":100}}
+    """
+
+    private companion object {
+        const val ROUNDS = 16
+        const val PAUSE_MS = 100L
+    }
+}
