--- a/src/main/kotlin/cleathitch/core/Placement.kt
+++ b/src/main/kotlin/cleathitch/core/Placement.kt
@@ -9,13 +9,18 @@
     private val sample: Int,
     private val random: Random,
 ) {
-    /** Best fit among a few machines that have room; all machines are looked at when none of them fits. */
+    /**
+     * Best fit among a few machines that have room; all machines are looked at when none of them fits.
+     * A fleet no larger than the sample is looked at whole and in order, so that work gathers on its
+     * first machines and the last ones fall idle and can go back.
+     */
     fun choose(job: Job, usable: List<Machine>): Machine? {
         val shape = job.spec.placementClass
         val zones = zonesFor(job)
         fun fits(machine: Machine) =
             (zones == null || machine.offer.zone in zones) && fleet.allows(shape, machine.offer) && fleet.roomFor(shape, machine) > 0
 
+        if (usable.size <= sample) return usable.filter(::fits).minByOrNull { cost(shape, it) }
         var best: Machine? = null
         var bestCost = Double.MAX_VALUE
         repeat(minOf(sample, usable.size)) {
--- a/src/main/kotlin/cleathitch/core/Tuning.kt
+++ b/src/main/kotlin/cleathitch/core/Tuning.kt
@@ -21,6 +21,9 @@
         private const val TRIM_MS = 10_000L
         private const val SAMPLE = 3
 
+        /** A round may look at as many machines per class; a look costs about a microsecond. */
+        private const val LOOKS = 100
+
         /** The page's bound on how far steady clocks drift apart, doubled for two clocks. */
         const val DRIFT = 0.001
 
@@ -42,7 +45,7 @@
             return Tuning(
                 roundMs = max(byObjective, byBudget).toLong(),
                 trimMs = TRIM_MS,
-                sample = SAMPLE,
+                sample = maxOf(SAMPLE, LOOKS),
                 graceMs = (spareMs * 0.5).toLong().coerceAtLeast(0),
                 leaseMarginMs = (deployment.leaseS * 1000 * DRIFT + reportMs / 4).toLong(),
                 silentMs = (reportMs * 3).toLong(),
