Arrays fill machines that services keep; services stop arrays to get room at once

Cause: services stayed scattered over dear ordinary machines whose free room was paid for but unused, since arrays preferred spot machines, which were kept for them as well.

--- a/src/main/kotlin/cleathitch/core/Engine.kt
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -586,12 +586,28 @@
                 // What fits nowhere for one job fits nowhere for its like, unless other tasks of the job decide.
                 if (!job.spec.oneZone && !job.spec.spread) stuck += shape
                 lacking.merge(shape, minOf(job.waiting, quota.roomFor(job.spec)), Int::plus)
+                preempt(job, usable)
                 return
             }
             start(job, index, machine)
         }
     }
 
+    /** Makes room for a job's next tasks by stopping work of lower priority, as the page allows. */
+    private fun preempt(job: Job, usable: List<Machine>) {
+        val spec = job.spec
+        if (spec.priority != Priority.PRODUCTION || job.roomComingMs > now.steadyMs) return
+        repeat(minOf(job.waiting, quota.roomFor(spec))) {
+            val victims = placement.victims(job, usable, { it.job.spec.priority > spec.priority }, now.steadyMs) ?: return
+            job.roomComingMs = now.steadyMs + (deployment.reportS * 1000).toLong()
+            for (victim in victims) {
+                victim.stop = StopCause.PREEMPTED
+                note(NoteLevel.DEBUG) { "task ${victim.id} on machine ${victim.machine} makes room for job ${job.id}" }
+            }
+            victims.firstOrNull()?.let { victim -> fleet.machines[victim.machine]?.let(::push) }
+        }
+    }
+
     /** A gang is started whole, and again only when nothing of an earlier start is left. */
     private fun placeGang(job: Job, usable: List<Machine>, lacking: MutableMap<PlacementClass, Int>) {
         if (job.live.isNotEmpty() || quota.roomFor(job.spec) < job.waiting) return
--- a/src/main/kotlin/cleathitch/core/Fleet.kt
+++ b/src/main/kotlin/cleathitch/core/Fleet.kt
@@ -86,11 +86,14 @@
     }
 
     /** How many tasks of [shape] fit into what is free of [machine]. */
-    fun roomFor(shape: PlacementClass, machine: Machine): Int {
+    fun roomFor(shape: PlacementClass, machine: Machine, without: List<Attempt> = emptyList()): Int {
         val type = machine.type ?: return 0
         val load = ledger.loadOf(machine.id)
         return slots(
-            shape, type.cpus - (load?.cpus ?: 0.0), type.gpus - (load?.gpus ?: 0.0), type.memoryGb - (load?.memoryGb ?: 0.0),
+            shape,
+            type.cpus - (load?.cpus ?: 0.0) + without.sumOf { it.job.spec.cpus },
+            type.gpus - (load?.gpus ?: 0.0) + without.sumOf { it.job.spec.gpus },
+            type.memoryGb - (load?.memoryGb ?: 0.0) + without.sumOf { it.job.spec.memoryGb },
         )
     }
 
--- a/src/main/kotlin/cleathitch/core/Ledger.kt
+++ b/src/main/kotlin/cleathitch/core/Ledger.kt
@@ -45,6 +45,9 @@
     var failures = 0
     var notBeforeMs = 0L
 
+    /** Until then room that was made for the job is on its way, and no more is made. */
+    var roomComingMs = 0L
+
     private var fresh = 0
     private val again = TreeSet<Int>()
 
--- a/src/main/kotlin/cleathitch/core/Placement.kt
+++ b/src/main/kotlin/cleathitch/core/Placement.kt
@@ -84,7 +84,47 @@
         val load = ledger.loadOf(machine.id)
         val leftover = (type.cpus - (load?.cpus ?: 0.0) - shape.cpus) / type.cpus
         val fetch = if (machine.hasImage(shape.image)) 0.0 else 2.0
-        val kind = if (shape.spotAllowed && !machine.offer.spot) 4.0 else 0.0
-        return fetch + kind + leftover + machine.faults
+        // A machine that a service keeps is paid for anyway: what is free of it costs nothing.
+        val kept = ledger.attemptsOn(machine.id).any { it.job.spec.kind == JobKind.SERVICE }
+        val kind = if (shape.spotAllowed && !machine.offer.spot && !kept) 4.0 else 0.0
+        val spare = if (shape.kind != JobKind.SERVICE && kept) -1.0 else 0.0
+        return fetch + kind + spare + leftover + machine.faults
+    }
+
+    /**
+     * The tasks to stop so that one of [job] finds room: on the machine where least is lost, and never
+     * one that the page protects. Null if stopping them all would not help.
+     */
+    fun victims(job: Job, usable: List<Machine>, mayStop: (Attempt) -> Boolean, nowMs: Long): List<Attempt>? {
+        val shape = job.spec.placementClass
+        val zones = zonesFor(job)
+        var best: List<Attempt>? = null
+        var bestLoss = Double.MAX_VALUE
+        for (machine in usable) {
+            if ((zones != null && machine.offer.zone !in zones) || !fleet.allows(shape, machine.offer)) continue
+            val attempts = ledger.attemptsOn(machine.id)
+            val leaving = attempts.filter { it.stop != null }
+            if (fleet.roomFor(shape, machine, leaving) > 0) continue // room is on its way
+            val chosen = ArrayList<Attempt>()
+            for (attempt in attempts.filter { it.stop == null && mayStop(it) }.sortedBy { loss(it, nowMs) }) {
+                chosen += attempt
+                if (fleet.roomFor(shape, machine, leaving + chosen) > 0) break
+            }
+            if (fleet.roomFor(shape, machine, leaving + chosen) == 0) continue
+            val fetch = if (machine.hasImage(shape.image)) 0.0 else job.spec.imageGb / (machine.type?.fetchGbPerS ?: 1.0)
+            val loss = fetch * shape.cpus + chosen.sumOf { loss(it, nowMs) }
+            if (loss < bestLoss) {
+                best = chosen
+                bestLoss = loss
+            }
+        }
+        return best
+    }
+
+    /** The processor time that is lost when the attempt is stopped, about. */
+    private fun loss(attempt: Attempt, nowMs: Long): Double {
+        val spec = attempt.job.spec
+        val ranS = attempt.runningSinceMs?.let { (nowMs - it) / 1000.0 } ?: 0.0
+        return spec.cpus * if (spec.checkpointS > 0) minOf(ranS, spec.saveS) else ranS
     }
 }
