--- a/src/main/kotlin/cleathitch/core/Engine.kt
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -326,7 +326,10 @@
             TaskState.FETCHING -> Unit
             TaskState.WAITING, TaskState.RUNNING, TaskState.SAVING -> {
                 machine.sawImage(job.spec.image, job.spec.imageGb)
-                if (attempt.runningSinceMs == null) attempt.runningSinceMs = now.steadyMs
+                if (attempt.runningSinceMs == null) {
+                    attempt.runningSinceMs = now.steadyMs
+                    note(NoteLevel.DEBUG) { "task ${attempt.id} runs on machine ${machine.id}" }
+                }
             }
             TaskState.EXITED -> {
                 when (task.why) {
@@ -357,6 +360,7 @@
 
     private fun finish(job: Job, attempt: AttemptId) {
         if (job.done[attempt.task.index]) return
+        note(NoteLevel.DEBUG) { "task $attempt is done" }
         outcomes[attempt] = append(Event.TaskDone(job.id, attempt.task.index))
         job.failures = 0
         val elsewhere = job.live[attempt.task.index]
@@ -565,16 +569,16 @@
         val jobs = ledger.jobs.filter { it.waiting > 0 && it.notBeforeMs <= now.steadyMs }
             .sortedWith(compareBy<Job>({ it.spec.priority }, { !quota.insideGuarantee(it.spec) }, { it.wallMs }))
         val stuck = HashSet<PlacementClass>()
-        val lacking = LinkedHashMap<PlacementClass, Int>()
+        val lacking = ArrayList<Lack>()
         for (job in jobs) place(job, usable, stuck, lacking)
-        demands = lacking.map { Fleet.Demand(it.key, it.value) }
+        demands = Forecast(deployment, fleet, ledger).demands(lacking)
     }
 
     private fun place(
         job: Job,
         usable: List<Machine>,
         stuck: MutableSet<PlacementClass>,
-        lacking: MutableMap<PlacementClass, Int>,
+        lacking: MutableList<Lack>,
     ) {
         val shape = job.spec.placementClass
         if (job.spec.kind == JobKind.GANG) return placeGang(job, usable, lacking)
@@ -585,7 +589,7 @@
             if (machine == null) {
                 // What fits nowhere for one job fits nowhere for its like, unless other tasks of the job decide.
                 if (!job.spec.oneZone && !job.spec.spread) stuck += shape
-                lacking.merge(shape, minOf(job.waiting, quota.roomFor(job.spec)), Int::plus)
+                lacking += Lack(job.spec, minOf(job.waiting, quota.roomFor(job.spec)))
                 preempt(job, usable)
                 return
             }
@@ -609,11 +613,11 @@
     }
 
     /** A gang is started whole, and again only when nothing of an earlier start is left. */
-    private fun placeGang(job: Job, usable: List<Machine>, lacking: MutableMap<PlacementClass, Int>) {
+    private fun placeGang(job: Job, usable: List<Machine>, lacking: MutableList<Lack>) {
         if (job.live.isNotEmpty() || quota.roomFor(job.spec) < job.waiting) return
         val machines = placement.chooseAll(job, usable)
         if (machines == null) {
-            lacking.merge(job.spec.placementClass, job.waiting, Int::plus)
+            lacking += Lack(job.spec, job.waiting)
             return
         }
         journal.keepTogether(machines.size)
