--- /dev/null
+++ b/src/test/kotlin/cleathitch/core/RulesTest.kt
@@ -0,0 +1,54 @@
+package cleathitch.core
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+
+/** Whole days in a stand-in world: no rule may break, and all work must come to its end once calm. */
+class RulesTest {
+    private val skies = mapOf(
+        "calm" to Weather(),
+        "lossy" to Weather(lost = 0.05, held = 0.03, twice = 0.05),
+        "killed leaders" to Weather(lost = 0.02, held = 0.02, twice = 0.02, killS = 12.0),
+        "leaders cut from the state service" to Weather(held = 0.03, cutS = 20.0),
+        "dying and hanging machines" to Weather(held = 0.02, dieS = 15.0, hangS = 10.0),
+        "everything at once" to Weather(0.05, 0.05, 0.05, killS = 25.0, cutS = 30.0, dieS = 20.0, hangS = 15.0),
+    )
+
+    @TestFactory
+    fun `no rule breaks`() = skies.flatMap { (name, weather) ->
+        (1L..SEEDS).map { seed -> DynamicTest.dynamicTest("$name, seed $seed") { day(seed, weather) } }
+    }
+
+    private fun day(seed: Long, weather: Weather) {
+        val world = World(seed, weather)
+        world.begin()
+        repeat(JOBS) { number ->
+            val kind = if (number % 4 == 3) JobKind.SERVICE else JobKind.ARRAY
+            val shape = World.job(number, kind, tasks = 1 + number % 5, team = if (number % 3 == 0) "blue" else "red")
+            val spec = when (number % 5) {
+                1 -> shape.copy(spread = true)
+                2 -> shape.copy(oneZone = true)
+                else -> shape
+            }
+            world.after(world.random.nextLong(DAY_MS / 2)) { world.submit(spec) }
+            if (kind == JobKind.SERVICE || number % 7 == 0) {
+                world.after(DAY_MS / 2 + world.random.nextLong(DAY_MS / 2)) { world.abort(spec.id) }
+            }
+        }
+        world.run(DAY_MS)
+        world.calmDown()
+        world.run(CALM_MS)
+        assertEquals(emptyList<String>(), world.broken) { world.trace.takeLast(40).joinToString("\n") }
+        val open = world.submitted.values.filter { !it.doneTold && it.cancelledToldMs == null }.map { it.spec.id }
+        assertTrue(open.isEmpty()) { "never ended: $open\n" + world.trace.takeLast(40).joinToString("\n") }
+    }
+
+    private companion object {
+        const val SEEDS = 8L
+        const val JOBS = 24
+        const val DAY_MS = 150_000L
+        const val CALM_MS = 240_000L
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/cleathitch/core/World.kt
@@ -0,0 +1,532 @@
+package cleathitch.core
+
+import cleathitch.protocol.StateWire
+import cleathitch.state.StoredCodec
+import java.util.PriorityQueue
+import java.util.TreeMap
+import kotlin.random.Random
+
+/** What a world's days are like. */
+data class Weather(
+    /** Share of messages that are lost, held for up to a minute, or delivered twice. */
+    val lost: Double = 0.0,
+    val held: Double = 0.0,
+    val twice: Double = 0.0,
+    /** Mean time between kills of a leader, between partitions of one, and between deaths of machines; 0: never. */
+    val killS: Double = 0.0,
+    val cutS: Double = 0.0,
+    val dieS: Double = 0.0,
+    val hangS: Double = 0.0,
+)
+
+/**
+ * A stand-in for everything round the core: state service, cloud, workers, users and the nodes' own
+ * elections, in simulated time and from one seed. After each step it checks the page's rules.
+ */
+class World(seed: Long, private val weather: Weather, val deployment: Deployment = standard) {
+    private class Step(val atMs: Long, val order: Long, val action: () -> Unit)
+
+    val random = Random(seed)
+    var nowMs = 0L
+        private set
+    var calm = false
+    private var steps = 0L
+    private val queue = PriorityQueue<Step>(compareBy<Step>({ it.atMs }, { it.order }))
+    val broken = ArrayList<String>()
+    val trace = ArrayList<String>()
+
+    private val tuning = Tuning.of(deployment)
+    private val type = MachineType("m4", 4.0, 0.0, 16.0, 50.0, 1.0, 1.0, 0.4, 5.0, deployment.zones)
+
+    fun after(ms: Long, action: () -> Unit) {
+        queue += Step(nowMs + ms, steps++, action)
+    }
+
+    /** A message on its way: late, lost or doubled as the weather has it. */
+    private fun send(action: () -> Unit) {
+        if (!calm && random.nextDouble() < weather.lost) return
+        val delay = if (!calm && random.nextDouble() < weather.held) random.nextLong(60_000) else random.nextLong(1, 20)
+        after(delay, action)
+        if (!calm && random.nextDouble() < weather.twice) after(delay + random.nextLong(30_000), action)
+    }
+
+    fun run(forMs: Long) {
+        val end = nowMs + forMs
+        while (queue.isNotEmpty() && queue.peek().atMs <= end && broken.isEmpty()) {
+            val step = queue.poll()
+            nowMs = step.atMs
+            step.action()
+            check()
+        }
+        nowMs = maxOf(nowMs, end)
+    }
+
+    // ---- the state service
+
+    private class Cell(val key: String, val stored: Stored, val parts: Int)
+
+    private var revision = 0L
+    private var leaderKey: Long? = null
+    private var leaderNode: Node? = null
+    private var leaseEndMs = 0L
+    private var headRevision = 0L
+    private val cells = TreeMap<String, Cell>()
+
+    private fun expireLease() {
+        if (leaderKey != null && nowMs >= leaseEndMs) {
+            leaderKey = null
+            leaderNode = null
+            revision++
+        }
+    }
+
+    private fun transact(term: Long, head: Long, changes: List<Change>): Long? {
+        expireLease()
+        if (leaderKey != term || headRevision != head) return null
+        revision++
+        for (change in changes) when (change) {
+            is Change.Put -> cells[change.key] = Cell(change.key, change.value, change.parts)
+            // the world keeps a cell's parts together, so each part's deletion is the cell's
+            is Change.Delete -> cells.remove(if (change.key.startsWith(Journal.JOB_PREFIX)) change.key.substringBeforeLast('/') else change.key)
+        }
+        headRevision = revision
+        return revision
+    }
+
+    /** Through the real codec, as a new leader would read it. */
+    private fun snapshot() = StoredCodec.snapshot(
+        cells.values.flatMap { cell ->
+            StoredCodec.encode(cell.stored, cell.parts).mapIndexed { part, value ->
+                StateWire.Entry(cell.key + if (cell.stored is Stored.OfJob) "/$part" else "", value, headRevision)
+            }
+        },
+    )
+
+    // ---- nodes
+
+    inner class Node(val name: String, private val drift: Double) {
+        var engine: Engine? = null
+        private var term = 0L
+        private var head = 0L
+        private var life = 0
+        var cutFromState = false
+        private var heldUntil = 0L
+        private var lastRenewal = 0L
+
+        fun steadyMs() = (nowMs * drift).toLong() + 1_000_000
+        private fun moment() = Moment(steadyMs(), nowMs)
+
+        fun live() {
+            val mine = life
+            fun loop() {
+                if (life != mine) return
+                expireLease()
+                if (engine == null && leaderKey == null && !cutFromState) elect()
+                engine?.let { if (nowMs - lastRenewal >= TTL_MS / 4) renew() }
+                take(Command.Tick)
+                after(200, ::loop)
+            }
+            after(random.nextLong(200), ::loop)
+        }
+
+        fun kill() {
+            engine = null
+            life++
+            after(random.nextLong(200, 4000)) { live() }
+        }
+
+        private fun elect() {
+            revision++
+            leaderKey = revision
+            leaderNode = this
+            leaseEndMs = nowMs + TTL_MS
+            term = revision
+            head = headRevision
+            heldUntil = steadyMs() + TTL_MS * 999 / 1000
+            lastRenewal = nowMs
+            inFlight = null
+            engine = Engine(deployment, tuning, Term(term), snapshot(), moment(), StoredCodec, Random(term))
+            trace += "${nowMs / 1000.0} $name leads in term $term"
+            take(Command.LeaseHeld(heldUntil))
+            take(Command.TypesListed(listOf(type)))
+        }
+
+        private fun renew() {
+            val sent = steadyMs()
+            lastRenewal = nowMs
+            if (cutFromState) return
+            val mine = term
+            after(random.nextLong(1, 10)) {
+                expireLease()
+                if (leaderKey == mine) leaseEndMs = nowMs + TTL_MS
+                val held = leaderKey == mine
+                after(random.nextLong(1, 10)) {
+                    if (term == mine && engine != null) {
+                        if (held) take(Command.LeaseHeld(sent + TTL_MS * 999 / 1000)) else resign()
+                    }
+                }
+            }
+        }
+
+        fun resign() {
+            engine = null
+        }
+
+        fun take(command: Command) {
+            val engine = engine ?: return
+            engine.handle(listOf(command), moment()).forEach(::perform)
+        }
+
+        private var inFlight: Commit? = null
+
+        private fun commit(commit: Commit) {
+            val mine = term
+            val expected = head
+            fun attempt() {
+                if (term != mine || engine == null || inFlight !== commit) return
+                if (!cutFromState) {
+                    send {
+                        val done = transact(mine, expected, commit.changes)
+                        val applied = (cells[Journal.HEAD]?.stored as? Stored.Head)?.let { it.seq == commit.seq && it.term.revision == mine } == true
+                        val result = done ?: headRevision.takeIf { applied }
+                        val refused = result == null
+                        if (calm || random.nextDouble() >= weather.lost) after(random.nextLong(1, 10)) {
+                            if (term == mine && engine != null && inFlight === commit) {
+                                if (refused) {
+                                    resign()
+                                } else {
+                                    inFlight = null
+                                    head = result!!
+                                    take(Command.Committed(commit.seq, result))
+                                }
+                            }
+                        }
+                    }
+                }
+                after(300, ::attempt)
+            }
+            inFlight = commit
+            attempt()
+        }
+
+        private fun perform(effect: Effect) {
+            when (effect) {
+                is Effect.Answer -> answers.remove(effect.request)?.invoke(effect.reply)
+                is Effect.AnswerReport -> reportAnswers.remove(effect.request)?.invoke(effect)
+                is Effect.RefuseReport -> reportAnswers.remove(effect.request)
+                is Effect.Write -> commit(effect.commit)
+                is Effect.Push -> send {
+                    machines[effect.machine]?.direct(effect)?.let { report -> send { take(Command.Inspected(report)) } }
+                }
+                is Effect.Rent -> send {
+                    val names = rent(effect.asked)
+                    send { take(Command.RentalAnswered(effect.asked.request, RentalAnswer.Rented(names))) }
+                }
+                is Effect.Return -> send {
+                    effect.machines.forEach { machines.remove(it) }
+                    send { take(Command.Returned(effect.machines)) }
+                }
+                is Effect.StepDown -> resign()
+                is Effect.Note -> trace += "${nowMs / 1000.0} $name ${effect.text}"
+            }
+        }
+    }
+
+    val nodes = List(3) { Node("node-$it", 1 + (it - 1) * 0.0005) }
+    private var requests = 0L
+    private val answers = HashMap<RequestId, (UserReply) -> Unit>()
+    private val reportAnswers = HashMap<RequestId, (Effect.AnswerReport) -> Unit>()
+    val leader: Node? get() = nodes.filter { it.engine != null }.maxByOrNull { if (it === leaderNode) 1 else 0 }
+
+    // ---- machines
+
+    private class Running(val id: AttemptId, var state: TaskState, val imageAtMs: Long, var endsAtMs: Long?) {
+        var why: ExitReason? = null
+    }
+
+    inner class Worker(val id: MachineId, private val offer: Offer) {
+        private var session = 1L
+        private var seq = 0L
+        private var token = 0L
+        private val tasks = LinkedHashMap<AttemptId, Running>()
+        private var leaseFromMs = nowMs
+        private var node = random.nextInt(nodes.size)
+        private var hangsUntilMs = 0L
+        val zone get() = offer.zone
+        val spot get() = offer.spot
+
+        /** A task counts as on the machine from when it has its image until it exits. */
+        fun onMachine() = tasks.values.filter { it.imageAtMs <= nowMs && it.state != TaskState.EXITED }.map { it.id.task }
+
+        fun live() {
+            if (machines[id] !== this) return
+            if (nowMs >= hangsUntilMs) {
+                advance()
+                sendReport()
+            }
+            after((deployment.reportS * 1000 * random.nextDouble(0.75, 1.25)).toLong(), ::live)
+        }
+
+        fun hang() {
+            hangsUntilMs = nowMs + random.nextLong(40_000)
+        }
+
+        private fun advance() {
+            if (nowMs - leaseFromMs > deployment.leaseS * 1000) {
+                tasks.clear()
+                session++
+                leaseFromMs = nowMs
+            }
+            for (task in tasks.values) {
+                if (task.state == TaskState.FETCHING && task.imageAtMs <= nowMs) task.state = TaskState.RUNNING
+                val ends = task.endsAtMs
+                if (task.state == TaskState.RUNNING && ends != null && ends <= nowMs) {
+                    task.state = TaskState.EXITED
+                    task.why = ExitReason.DONE
+                    results += task.id.task
+                }
+            }
+        }
+
+        private fun report(): Report {
+            seq++
+            return Report(
+                id, "x", offer.type, offer.zone, offer.spot, session, seq, OrderVersion(token), null,
+                tasks.values.map { ReportedTask(it.id, it.state, it.why) },
+            )
+        }
+
+        private fun sendReport() {
+            val report = report()
+            val sentMs = nowMs
+            val request = RequestId(++requests)
+            val target = nodes[node]
+            var answered = false
+            send {
+                if (target.engine == null) return@send
+                reportAnswers[request] = { answer ->
+                    send {
+                        if (machines[id] === this && report.session == session && nowMs - sentMs < 4000 && !answered && nowMs >= hangsUntilMs) {
+                            answered = true
+                            if (answer.version.packed >= token) {
+                                advance()
+                                token = answer.version.packed
+                                leaseFromMs = maxOf(leaseFromMs, sentMs)
+                                execute(answer.orders)
+                            }
+                        }
+                    }
+                }
+                target.take(Command.Reported(request, report))
+            }
+            after(1000) { if (!answered) node = random.nextInt(nodes.size) }
+        }
+
+        fun direct(push: Effect.Push): Report? {
+            if (nowMs < hangsUntilMs) {
+                // A hanging machine takes up what waited for it when it goes on.
+                after(hangsUntilMs - nowMs + 1) { machines[id]?.direct(push) }
+                return null
+            }
+            advance()
+            if (push.version.packed >= token && push.session == session) {
+                token = push.version.packed
+                execute(push.orders)
+            }
+            return report()
+        }
+
+        private fun execute(orders: List<Order>) {
+            for (order in orders) when (order) {
+                is Order.Start -> if (order.attempt !in tasks) {
+                    val job = submitted.getValue(order.attempt.task.job)
+                    val image = nowMs + random.nextLong(0, 4000)
+                    val known = order.attempt.task in results
+                    val runs = if (job.spec.kind == JobKind.SERVICE) null else if (known) 0 else random.nextLong(2000, 15_000)
+                    tasks[order.attempt] = Running(order.attempt, TaskState.FETCHING, image, runs?.let { image + it })
+                    started(order.attempt.task, this)
+                }
+                is Order.Stop -> tasks[order.attempt]?.let {
+                    if (it.state != TaskState.EXITED) {
+                        it.state = TaskState.EXITED
+                        it.why = ExitReason.STOPPED
+                    }
+                }
+                is Order.Forget -> tasks[order.attempt]?.let { if (it.state == TaskState.EXITED) tasks.remove(order.attempt) }
+            }
+        }
+    }
+
+    val machines = LinkedHashMap<MachineId, Worker>()
+    private val rentals = HashMap<String, List<MachineId>>()
+    private var machineCount = 0
+
+    private fun rent(asked: Event.RentalAsked): List<MachineId> = rentals.getOrPut(asked.request) {
+        val count = minOf(asked.count, MOST_MACHINES - machines.size).coerceAtLeast(0)
+        List(count) {
+            val id = MachineId("vm-%06d".format(machineCount++))
+            val worker = Worker(id, asked.offer)
+            machines[id] = worker
+            after(random.nextLong(1000, 5000)) { worker.live() }
+            id
+        }
+    }
+
+    // ---- users
+
+    class Known(val spec: JobSpec) {
+        var accepted = false
+        var cancelledToldMs: Long? = null
+        var doneTold = false
+        var abortAsked = false
+    }
+
+    val submitted = LinkedHashMap<JobId, Known>()
+    private val results = HashSet<TaskId>()
+
+    fun submit(spec: JobSpec) {
+        val known = submitted.getOrPut(spec.id) { Known(spec) }
+        fun ask() {
+            if (known.accepted) return
+            request(known, { Command.Submit(it, spec) })
+            after(1500, ::ask)
+        }
+        ask()
+        fun poll() {
+            if (known.accepted) request(known, { Command.Poll(it, spec.id) })
+            after(5000, ::poll)
+        }
+        poll()
+    }
+
+    fun abort(id: JobId) {
+        val known = submitted.getValue(id)
+        known.abortAsked = true
+        fun ask() {
+            if (known.cancelledToldMs != null || known.doneTold) return
+            if (known.accepted) request(known, { Command.Abort(it, id) })
+            after(1500, ::ask)
+        }
+        ask()
+    }
+
+    private fun request(known: Known, command: (RequestId) -> Command) {
+        val node = nodes.filter { it.engine != null }.randomOrNull(random) ?: return
+        val request = RequestId(++requests)
+        val acceptedBefore = known.accepted
+        val cancelledBefore = known.cancelledToldMs != null
+        val doneBefore = known.doneTold
+        answers[request] = { reply -> hear(known, reply, acceptedBefore, cancelledBefore, doneBefore) }
+        after(random.nextLong(1, 10)) { node.take(command(request)) }
+    }
+
+    private fun hear(known: Known, reply: UserReply, accepted: Boolean, cancelled: Boolean, done: Boolean) {
+        val state = when (reply) {
+            is UserReply.Accepted -> reply.state.also { known.accepted = true }
+            is UserReply.Status -> reply.state
+            is UserReply.Aborted -> reply.state
+            UserReply.NotFound -> {
+                if (accepted) broken += "forgotten: ${known.spec.id}"
+                return
+            }
+            is UserReply.NeverRuns -> {
+                broken += "forgotten: ${known.spec.id} can never run: ${reply.reason}"
+                return
+            }
+            is UserReply.NotNow -> return
+        }
+        if (cancelled && state != ShownState.CANCELLED) broken += "went_back: ${known.spec.id} was cancelled, now $state"
+        if (done && state != ShownState.DONE) broken += "went_back: ${known.spec.id} was done, now $state"
+        if (state == ShownState.CANCELLED) {
+            if (!known.abortAsked) broken += "went_back: ${known.spec.id} cancelled by nobody"
+            if (known.cancelledToldMs == null) known.cancelledToldMs = nowMs
+        }
+        if (state == ShownState.DONE) {
+            known.doneTold = true
+            val missing = (0 until known.spec.tasks).count { TaskId(known.spec.id, it) !in results }
+            if (missing > 0) broken += "not_done: ${known.spec.id} lacks $missing"
+        }
+    }
+
+    // ---- the rules
+
+    private fun started(task: TaskId, on: Worker) {
+        val spec = submitted.getValue(task.job).spec
+        if (on.spot && !spec.spotAllowed) broken += "wrong_place: $task on a spot machine"
+        if (spec.zone != null && on.zone != spec.zone) broken += "wrong_place: $task in ${on.zone}"
+    }
+
+    private fun check() {
+        val places = HashMap<TaskId, Worker>()
+        val cpus = HashMap<String, Double>()
+        val zones = HashMap<JobId, HashMap<String, Int>>()
+        for (worker in machines.values) for (task in worker.onMachine()) {
+            val known = submitted.getValue(task.job)
+            places.put(task, worker)?.let { broken += "ran_twice: $task on ${it.id} and ${worker.id}" }
+            cpus.merge(known.spec.team, known.spec.cpus, Double::plus)
+            zones.getOrPut(task.job) { HashMap() }.merge(worker.zone, 1, Int::plus)
+            known.cancelledToldMs?.let {
+                if (nowMs - it > deployment.cancelS * 1000) broken += "ran_cancelled: $task on ${worker.id}"
+            }
+        }
+        for ((team, used) in cpus) {
+            deployment.teams.getValue(team).maxCpus?.let { if (used > it + 1e-6) broken += "quota: $team uses $used of $it" }
+        }
+        for ((job, byZone) in zones) {
+            val spec = submitted.getValue(job).spec
+            if (spec.oneZone && byZone.size > 1) broken += "wrong_place: $job in ${byZone.keys}"
+            if (byZone.values.any { it > spec.maxPerZone }) broken += "wrong_place: $job spread as $byZone"
+        }
+        if (broken.isNotEmpty()) trace += "${nowMs / 1000.0} BROKEN $broken"
+    }
+
+    // ---- a day
+
+    fun begin() {
+        nodes.forEach { it.live() }
+        fun now(meanS: Double, action: () -> Unit) {
+            if (meanS <= 0) return
+            fun again() {
+                if (!calm) action()
+                after((meanS * 1000 * random.nextDouble(0.3, 1.7)).toLong(), ::again)
+            }
+            after((meanS * 1000).toLong(), ::again)
+        }
+        now(weather.killS) { leader?.kill() }
+        now(weather.cutS) {
+            leader?.let { node ->
+                node.cutFromState = true
+                after(random.nextLong(1000, 30_000)) { node.cutFromState = false }
+            }
+        }
+        now(weather.dieS) { machines.keys.randomOrNull(random)?.let(machines::remove) }
+        now(weather.hangS) { machines.values.randomOrNull(random)?.hang() }
+    }
+
+    /** The weather turns calm: from here on everything must come to its end. */
+    fun calmDown() {
+        calm = true
+        nodes.forEach { it.cutFromState = false }
+    }
+
+    companion object {
+        private const val TTL_MS = 3000L
+        private const val MOST_MACHINES = 24
+
+        val standard = Deployment(
+            zones = listOf("a", "b"),
+            teams = mapOf("red" to Team("red", 8.0, 12.0, 0.0, null), "blue" to Team("blue", 0.0, null, 0.0, null)),
+            objectives = listOf(Objective.Wait("web", 1.0, 0.9), Objective.Finished("batch", 60.0, 0.9)),
+            reportS = 3.0, leaseS = 34.0, cancelS = 64.0,
+            stateRps = 100.0, stateWriteRps = 40.0, stateValueBytes = 16_384, stateTxnOps = 32,
+            cloudRps = 4.0, listLagS = 4.0, nodes = 3,
+        )
+
+        fun job(number: Int, kind: JobKind = JobKind.ARRAY, tasks: Int = 3, team: String = "red") = JobSpec(
+            id = JobId("j-%06d".format(number)), className = if (kind == JobKind.SERVICE) "web" else "batch", team = team,
+            kind = kind, priority = if (kind == JobKind.SERVICE) Priority.PRODUCTION else Priority.NORMAL, tasks = tasks,
+            cpus = 2.0, gpus = 0.0, memoryGb = 2.0, image = "img", imageGb = 1.0, spotAllowed = kind != JobKind.SERVICE,
+            estimateS = 10.0,
+        )
+    }
+}
