--- a/src/main/kotlin/cleathitch/core/Engine.kt
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -26,6 +26,8 @@
     private val journal = Journal(deployment, sizes)
     private val placement = Placement(fleet, ledger, tuning.sample, random)
 
+    /** For each class, within how many seconds its jobs should be finished. */
+    private val aims = deployment.objectives.filterIsInstance<Objective.Finished>().groupBy({ it.className }, { it.withinS })
     private val effects = ArrayList<Effect>()
     private val gates = ArrayList<Gate>()
 
@@ -567,13 +569,26 @@
                 now.steadyMs - (it.lastReportMs ?: 0) < tuning.silentMs
         }
         val jobs = ledger.jobs.filter { it.waiting > 0 && it.notBeforeMs <= now.steadyMs }
-            .sortedWith(compareBy<Job>({ it.spec.priority }, { !quota.insideGuarantee(it.spec) }, { it.wallMs }))
+            .sortedWith(
+                compareBy<Job>({ it.spec.priority }, { !quota.insideGuarantee(it.spec) }, { missedAims(it) })
+                    .thenBy { if (missedAims(it) == 0) it.waiting * it.spec.estimateS else 0.0 }
+                    .thenBy { it.wallMs },
+            )
         val stuck = HashSet<PlacementClass>()
         val lacking = ArrayList<Lack>()
         for (job in jobs) place(job, usable, stuck, lacking)
         demands = Forecast(deployment, fleet, ledger).demands(lacking)
     }
 
+    /**
+     * How many of its class's aims a job can't meet any more. Jobs that can still meet all go first, the
+     * shortest of them before the others, so that as many as possible do.
+     */
+    private fun missedAims(job: Job): Int {
+        val ageS = (now.wallMs - job.wallMs) / 1000.0
+        return aims[job.spec.className].orEmpty().count { ageS + job.spec.estimateS > it }
+    }
+
     private fun place(
         job: Job,
         usable: List<Machine>,
