--- a/src/main/kotlin/cleathitch/core/Engine.kt
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -119,7 +119,7 @@
             is Command.Poll -> poll(command)
             is Command.Abort -> abort(command)
             is Command.Reported -> reported(command)
-            is Command.Inspected -> observe(command.report, answered = false)
+            is Command.Inspected -> observe(command.report)
             is Command.LeaseHeld -> heldUntilMs = maxOf(heldUntilMs, command.untilMs)
             is Command.Committed -> committed(command)
             is Command.TypesListed -> typesListed(command.types)
@@ -255,7 +255,7 @@
 
     private fun reported(command: Command.Reported) {
         val (request, report) = command
-        if (now.steadyMs >= heldUntilMs + tuning.graceMs || !observe(report, answered = true)) {
+        if (now.steadyMs >= heldUntilMs + tuning.graceMs || !observe(report)) {
             effects += Effect.RefuseReport(request)
             return
         }
@@ -268,16 +268,20 @@
 
     /**
      * Takes in a report; false if it must not be answered, as it is older than one seen before or the
-     * machine is gone. A report [answered] renews the machine's lease.
+     * machine is gone.
+     *
+     * Even a report that isn't answered pushes the bound of the machine's lease: its session may just have
+     * begun. (A machine first heard of as it took orders directly was once held to have no lease at all,
+     * and its tasks were started elsewhere.)
      */
-    private fun observe(report: Report, answered: Boolean): Boolean {
+    private fun observe(report: Report): Boolean {
         if (report.version > version) {
             stepDown("machine ${report.machine} has seen version ${report.version}, ours is $version")
             return false
         }
         if (report.machine in gone) return false
         val machine = fleet.machines[report.machine]
-            ?: fleet.adopt(report.machine, Offer(report.type, report.zone, report.spot), now.steadyMs)
+            ?: adopt(report.machine, Offer(report.type, report.zone, report.spot), now.steadyMs)
         if (machine.newerThan(report)) return false
         if (report.session > machine.session) machine.forgetImages()
         machine.addr = report.addr
@@ -285,9 +289,7 @@
         machine.seq = report.seq
         machine.version = maxOf(machine.version, report.version)
         machine.lastReportMs = now.steadyMs
-        if (answered) {
-            machine.leaseEndMs = now.steadyMs + (deployment.leaseS * 1000).toLong() + tuning.leaseMarginMs
-        }
+        machine.leaseEndMs = maxOf(machine.leaseEndMs, leaseEndFromNow())
         machine.noticeAtMs = report.noticeS?.let { now.steadyMs + (it * 1000).toLong() }
         machine.reported = report.tasks
         if (machine.state == MachineState.STARTING) {
@@ -300,6 +302,12 @@
         return true
     }
 
+    private fun leaseEndFromNow() = now.steadyMs + (deployment.leaseS * 1000).toLong() + tuning.leaseMarginMs
+
+    private fun adopt(id: MachineId, offer: Offer, rentedAtMs: Long): Machine = fleet.adopt(id, offer, rentedAtMs).also {
+        it.leaseEndMs = maxOf(it.leaseEndMs, inheritedLeaseEndMs, leaseEndFromNow())
+    }
+
     private fun reconcile(machine: Machine, report: Report) {
         val shown = HashSet<AttemptId>()
         for (task in report.tasks) {
@@ -460,7 +468,7 @@
 
     private fun watchMachines() {
         for (machine in fleet.machines.values.toList()) {
-            if (now.steadyMs >= maxOf(machine.leaseEndMs, if (machine.lastReportMs == null) inheritedLeaseEndMs else 0)) {
+            if (now.steadyMs >= machine.leaseEndMs) {
                 ledger.attemptsOn(machine.id).toList().forEach(::over)
             }
         }
@@ -502,7 +510,7 @@
 
     private fun listed(listed: ListedMachine) {
         if (listed.machine in gone) return
-        val machine = fleet.machines[listed.machine] ?: fleet.adopt(
+        val machine = fleet.machines[listed.machine] ?: adopt(
             listed.machine, listed.offer, now.steadyMs - (listed.ageS * 1000).toLong(),
         )
         machine.listed = true
@@ -518,7 +526,7 @@
         val asked = fleet.rentals[command.request] ?: return
         when (val answer = command.answer) {
             is RentalAnswer.Rented -> {
-                answer.machines.filter { it !in gone }.forEach { fleet.adopt(it, asked.offer, now.steadyMs) }
+                answer.machines.filter { it !in gone }.forEach { adopt(it, asked.offer, now.steadyMs) }
                 if (answer.machines.size < asked.count) fleet.refused(asked.offer, now.steadyMs)
                 append(Event.RentalSettled(command.request))
                 note(NoteLevel.INFO) { "rental ${command.request}: ${answer.machines.size} of ${asked.count} ${asked.offer}" }
--- a/src/main/kotlin/cleathitch/core/Fleet.kt
+++ b/src/main/kotlin/cleathitch/core/Fleet.kt
@@ -7,7 +7,11 @@
 enum class MachineState { STARTING, UP, RETIRED }
 
 /** A machine that is ours, as far as anyone has shown. */
-class Machine(val id: MachineId, val offer: Offer, val type: MachineType?, var rentedAtMs: Long) {
+class Machine(val id: MachineId, val offer: Offer, type: MachineType?, val rentedAtMs: Long) {
+    /** Null until the cloud has told the types; a machine may well report before that. */
+    var type: MachineType? = type
+        internal set
+
     var addr: String? = null
     var state = MachineState.STARTING
     var session = 0L
@@ -45,7 +49,13 @@
 /** Which machines there are, and which to rent and return. */
 class Fleet(private val deployment: Deployment, private val ledger: Ledger) {
     val machines = LinkedHashMap<MachineId, Machine>()
+
+    /** Prices move, and machines that reported before the first answer wait for their type. */
     var types: Map<String, MachineType> = emptyMap()
+        set(value) {
+            field = value
+            machines.values.forEach { machine -> value[machine.offer.type]?.let { machine.type = it } }
+        }
 
     /** Asked for and recorded; null until the cloud has been asked. */
     val rentals = LinkedHashMap<String, Event.RentalAsked>()
