--- a/src/main/kotlin/cleathitch/App.kt
+++ b/src/main/kotlin/cleathitch/App.kt
@@ -2,6 +2,7 @@
 
 import cleathitch.cloud.CallBudget
 import cleathitch.cloud.CloudClient
+import cleathitch.config.OperatorSettings
 import cleathitch.config.Settings
 import cleathitch.core.Tuning
 import cleathitch.http.Front
@@ -24,7 +25,7 @@
 import org.slf4j.LoggerFactory
 
 /** Puts a node together and runs it until the process is killed. */
-class App(private val settings: Settings) {
+class App(private val settings: Settings, private val operator: OperatorSettings = OperatorSettings.DEFAULT) {
     private val vertx = Vertx.vertx(VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1))
     private val scope = CoroutineScope(vertx.dispatcher() + SupervisorJob())
     private val meters: MeterRegistry = SimpleMeterRegistry()
@@ -35,9 +36,9 @@
         val reportMs = (deployment.reportS * 1000).toLong()
         val services = Services(
             deployment,
-            Tuning.of(deployment),
+            Tuning.of(deployment, operator.trimS, operator.looks),
             WorkerClient(vertx, timeoutMs = reportMs),
-            CloudClient(vertx, settings.cloud, CallBudget(deployment.cloudRps * CLOUD_SHARE, clocks::steadyMs), timeoutMs = reportMs * 2),
+            CloudClient(vertx, settings.cloud, CallBudget(deployment.cloudRps * (operator.cloudShare ?: CLOUD_SHARE), clocks::steadyMs), timeoutMs = reportMs * 2),
             clocks,
             meters,
         )
--- a/src/main/kotlin/cleathitch/cli/Main.kt
+++ b/src/main/kotlin/cleathitch/cli/Main.kt
@@ -2,12 +2,14 @@
 
 import cleathitch.App
 import cleathitch.config.BadSettings
+import cleathitch.config.OperatorSettings
 import cleathitch.config.Settings
 import java.nio.file.Path
 import kotlin.system.exitProcess
 import picocli.CommandLine
 import picocli.CommandLine.Command
 import picocli.CommandLine.IVersionProvider
+import picocli.CommandLine.Mixin
 import picocli.CommandLine.Option
 
 @Command(
@@ -25,12 +27,24 @@
     override fun getVersion() = arrayOf("cleathitch ${Main::class.java.`package`.implementationVersion ?: "(not packaged)"}")
 }
 
-@Command(name = "serve", description = ["Runs a controller until it is killed."], mixinStandardHelpOptions = true, versionProvider = Version::class)
-class Serve : Runnable {
+/** The files that every command about a controller reads. */
+class Files {
     @Option(names = ["--config"], required = true, paramLabel = "FILE", description = ["the platform's settings (JSON)"])
     lateinit var config: Path
 
-    override fun run() = App(Settings.read(config)).start()
+    @Option(names = ["--operator"], paramLabel = "FILE", description = ["the operators' own settings (EDN)"])
+    var operator: Path? = null
+
+    fun settings() = Settings.read(config)
+    fun operatorSettings() = operator?.let(OperatorSettings::read) ?: OperatorSettings.DEFAULT
+}
+
+@Command(name = "serve", description = ["Runs a controller until it is killed."], mixinStandardHelpOptions = true, versionProvider = Version::class)
+class Serve : Runnable {
+    @Mixin
+    lateinit var files: Files
+
+    override fun run() = App(files.settings(), files.operatorSettings()).start()
 }
 
 @Command(
@@ -40,12 +54,13 @@
     versionProvider = Version::class,
 )
 class CheckConfig : Runnable {
-    @Option(names = ["--config"], required = true, paramLabel = "FILE", description = ["the platform's settings (JSON)"])
-    lateinit var config: Path
+    @Mixin
+    lateinit var files: Files
 
     override fun run() {
-        val settings = Settings.read(config)
-        println("$config: ok, member ${settings.member} of ${settings.deployment.nodes}")
+        val settings = files.settings()
+        files.operatorSettings()
+        println("${files.config}: ok, member ${settings.member} of ${settings.deployment.nodes}")
     }
 }
 
--- /dev/null
+++ b/src/main/kotlin/cleathitch/config/OperatorSettings.kt
@@ -0,0 +1,63 @@
+package cleathitch.config
+
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+import us.bpsm.edn.EdnException
+import us.bpsm.edn.Keyword
+import us.bpsm.edn.parser.Parser
+import us.bpsm.edn.parser.Parsers
+
+/**
+ * The operators' own settings, one EDN map; a key left out keeps its default, an unknown one is an error.
+ *
+ *     {:trim-s 10 :looks 100 :cloud-share 0.8}
+ */
+data class OperatorSettings(
+    /** How often records are folded and trimmed. */
+    val trimS: Double? = null,
+    /** Up to how many machines are looked at whole for each class of tasks. */
+    val looks: Int? = null,
+    /** What the leader may take of the cloud's calls. */
+    val cloudShare: Double? = null,
+) {
+    companion object {
+        val DEFAULT = OperatorSettings()
+
+        fun read(file: Path): OperatorSettings {
+            val map = parse(file) as? Map<*, *> ?: throw BadSettings(file, null, "isn't one map")
+            var settings = DEFAULT
+            for ((key, value) in map) {
+                val name = (key as? Keyword)?.name ?: throw BadSettings(file, "$key", "isn't a keyword")
+                val number = (value as? Number)?.toDouble()?.takeIf { it.isFinite() && it > 0 }
+                    ?: throw BadSettings(file, ":$name", "must be a number above zero")
+                settings = when (name) {
+                    "trim-s" -> settings.copy(trimS = number)
+                    "looks" -> settings.copy(looks = number.toInt().coerceAtLeast(1))
+                    "cloud-share" -> {
+                        if (number > 1) throw BadSettings(file, ":$name", "must be 1 at most")
+                        settings.copy(cloudShare = number)
+                    }
+                    else -> throw BadSettings(file, ":$name", "is unknown")
+                }
+            }
+            return settings
+        }
+
+        private fun parse(file: Path): Any? = try {
+            Files.newBufferedReader(file).use { reader ->
+                val parser = Parsers.newParser(Parsers.defaultConfiguration())
+                val input = Parsers.newParseable(reader)
+                val value = parser.nextValue(input)
+                if (value !== Parser.END_OF_INPUT && parser.nextValue(input) !== Parser.END_OF_INPUT) {
+                    throw BadSettings(file, null, "holds more than one value")
+                }
+                value
+            }
+        } catch (e: IOException) {
+            throw BadSettings(file, null, "can't be read (${e.javaClass.simpleName})")
+        } catch (e: EdnException) {
+            throw BadSettings(file, null, "isn't EDN: ${e.message}")
+        }
+    }
+}
--- a/src/main/kotlin/cleathitch/core/Tuning.kt
+++ b/src/main/kotlin/cleathitch/core/Tuning.kt
@@ -27,7 +27,7 @@
         /** The page's bound on how far steady clocks drift apart, doubled for two clocks. */
         const val DRIFT = 0.001
 
-        fun of(deployment: Deployment): Tuning {
+        fun of(deployment: Deployment, trimS: Double? = null, looks: Int? = null): Tuning {
             val wait = deployment.objectives.mapNotNull {
                 when (it) {
                     is Objective.Wait -> it.withinS
@@ -44,8 +44,8 @@
             val spareMs = (deployment.cancelS - deployment.leaseS) * 1000
             return Tuning(
                 roundMs = max(byObjective, byBudget).toLong(),
-                trimMs = TRIM_MS,
-                sample = maxOf(SAMPLE, LOOKS),
+                trimMs = trimS?.let { (it * 1000).toLong() } ?: TRIM_MS,
+                sample = maxOf(SAMPLE, looks ?: LOOKS),
                 graceMs = (spareMs * 0.5).toLong().coerceAtLeast(0),
                 leaseMarginMs = (deployment.leaseS * 1000 * DRIFT + reportMs / 4).toLong(),
                 silentMs = (reportMs * 3).toLong(),
