--- a/src/main/kotlin/cleathitch/core/Engine.kt
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -142,7 +142,9 @@
     }
 
     private fun write() {
-        val trimDue = now.steadyMs - lastTrimMs >= tuning.trimMs
+        // A trim takes half a transaction; what it leaves is not left for a whole period.
+        val trimMs = if (journal.keptRecords > deployment.stateTxnOps) minOf(tuning.roundMs * 4, tuning.trimMs) else tuning.trimMs
+        val trimDue = now.steadyMs - lastTrimMs >= trimMs
         val commit = journal.next(term, ledger, fleet::cell, trimDue) ?: return
         if (trimDue) lastTrimMs = now.steadyMs
         writeSinceMs = now.steadyMs
