A leader's lease of two thirds of a report period shortens take-overs

Cause: submissions that came while a dead leader's lease ran were refused for up to 3 s. Ruled out: replay (30 ms).

--- a/src/main/kotlin/cleathitch/Node.kt
+++ b/src/main/kotlin/cleathitch/Node.kt
@@ -38,7 +38,7 @@
     private val clocks = services.clocks
     private val reportMs = (settings.deployment.reportS * 1000).toLong()
     private val leadership = Leadership(
-        state, settings.member, incarnation, ttlMs = reportMs, LEADER_KEY, this, clocks::steadyMs,
+        state, settings.member, incarnation, ttlMs = reportMs * 2 / 3, LEADER_KEY, this, clocks::steadyMs,
     )
     private val peerAddresses = settings.peers.associate { it.member to it.addr }
 
