--- a/src/main/kotlin/cleathitch/App.kt
+++ b/src/main/kotlin/cleathitch/App.kt
@@ -34,15 +34,16 @@
         val clocks = Clocks()
         val deployment = settings.deployment
         val reportMs = (deployment.reportS * 1000).toLong()
+        val tuning = Tuning.of(deployment, operator.trimS)
         val services = Services(
             deployment,
-            Tuning.of(deployment, operator.trimS, operator.looks),
-            WorkerClient(vertx, timeoutMs = reportMs),
+            tuning,
+            WorkerClient(vertx, timeoutMs = reportMs, probeMs = tuning.probeGapMs),
             CloudClient(vertx, settings.cloud, CallBudget(deployment.cloudRps * (operator.cloudShare ?: CLOUD_SHARE), clocks::steadyMs), timeoutMs = reportMs * 2),
             clocks,
             meters,
         )
-        val state = StateClient(vertx, settings.state, timeoutMs = reportMs / 3)
+        val state = StateClient(vertx, settings.state, timeoutMs = tuning.leaderLeaseMs / 3)
         val node = Node(settings, services, state, PeerClient(vertx), scope, UUID.randomUUID().toString())
         scope.launch {
             Front(vertx, scope, Wire.MAX_BODY, node::front).listen(settings.bind)
--- a/src/main/kotlin/cleathitch/LeaderTerm.kt
+++ b/src/main/kotlin/cleathitch/LeaderTerm.kt
@@ -20,7 +20,6 @@
 import cleathitch.workers.WorkerClient
 import io.micrometer.core.instrument.MeterRegistry
 import java.util.concurrent.TimeUnit
-import kotlin.random.Random
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
@@ -63,6 +62,7 @@
     private val reports = HashMap<RequestId, CompletableDeferred<Effect.AnswerReport?>>()
     private var requests = 0L
 
+    val sinceMs = services.clocks.steadyMs()
     var heldUntilMs = heldUntilMs
         private set
     var ready = false
@@ -111,7 +111,7 @@
         val begun = services.clocks.steadyMs()
         val snapshot = store.load()
         val engine = Engine(
-            services.deployment, services.tuning, term, snapshot, services.clocks.moment(), StoredCodec, Random(term.revision),
+            services.deployment, services.tuning, term, snapshot, services.clocks.moment(), StoredCodec,
         )
         commands.trySend(Command.LeaseHeld(heldUntilMs))
         if (knownTypes.isNotEmpty()) commands.trySend(Command.TypesListed(knownTypes))
@@ -150,6 +150,9 @@
             is Effect.Push -> launch {
                 services.workers.push(effect)?.let { commands.send(Command.Inspected(it)) }
             }
+            is Effect.Inspect -> launch {
+                services.workers.inspect(effect.machine, effect.addr)?.let { commands.send(Command.Inspected(it)) }
+            }
             is Effect.Rent -> launch {
                 val answer = services.cloud.rent(effect.asked)
                 commands.send(Command.RentalAnswered(effect.asked.request, answer))
--- a/src/main/kotlin/cleathitch/Node.kt
+++ b/src/main/kotlin/cleathitch/Node.kt
@@ -38,8 +38,12 @@
     private val clocks = services.clocks
     private val reportMs = (settings.deployment.reportS * 1000).toLong()
     private val leadership = Leadership(
-        state, settings.member, incarnation, ttlMs = reportMs * 2 / 3, LEADER_KEY, this, clocks::steadyMs,
+        state, settings.member, incarnation, services.tuning.leaderLeaseMs, LEADER_KEY, this, clocks::steadyMs,
     )
+    private val leaseMs = services.tuning.leaderLeaseMs
+
+    /** When each peer last answered us as leader. */
+    private val peerHeardMs = HashMap<String, Long>()
     private val peerAddresses = settings.peers.associate { it.member to it.addr }
 
     private var leading: LeaderTerm? = null
@@ -96,7 +100,11 @@
 
     override fun leaderIs(member: String?) {
         if (leading != null) return
-        if (member != leader) log.info("leader: {}", member ?: "none")
+        if (member != leader) {
+            log.info("leader: {}", member ?: "none")
+            // A new leader gets the time of its replay to make itself heard.
+            if (member != null) leaderHeardMs = clocks.steadyMs()
+        }
         leader = member
     }
 
@@ -106,11 +114,13 @@
             val mine = leading
             if (mine != null && mine.ready) {
                 for (peer in settings.peers) scope.launch {
-                    val reply = peers.ask(peer.addr, PeerRequest.Leads(settings.member, settings.member, mine.term.revision), reportMs / 3)
-                    if (reply != null && reply.term > mine.term.revision) depose(mine.term, "${peer.member} knows term ${reply.term}")
+                    val reply = peers.ask(peer.addr, PeerRequest.Leads(settings.member, settings.member, mine.term.revision), leaseMs / 3)
+                        ?: return@launch
+                    peerHeardMs[peer.member] = clocks.steadyMs()
+                    if (reply.term > mine.term.revision) depose(mine.term, "${peer.member} knows term ${reply.term}")
                 }
             }
-            delay(reportMs / 3)
+            delay(leaseMs / 3)
         }
     }
 
@@ -133,11 +143,21 @@
         else -> HttpReply(404)
     }
 
-    /** Ready while requests can be served, here or through the leader; short elections don't count. */
+    /**
+     * Ready while requests can be served, here or through the leader. The load balancer takes ever longer
+     * to come back to a node that was not ready, so what passes by itself doesn't count: an election, and
+     * an outage of the state service that the peers see, too.
+     */
     private fun isReady(): Boolean {
         val now = clocks.steadyMs()
-        leading?.let { return it.ready && now < it.heldUntilMs + reportMs }
-        return leaderHeardMs?.let { now - it < reportMs * READY_REPORTS } == true
+        leading?.let { mine ->
+            if (!mine.ready) return now - mine.sinceMs < leaseMs
+            val peersHeard = peerHeardMs.values.count { now - it < leaseMs }
+            return now < mine.heldUntilMs + leaseMs || peersHeard * 2 >= settings.peers.size
+        }
+        val silentMs = now - (leaderHeardMs ?: return false)
+        // A dead leader's key goes with its lease. While it stands, we are cut off from a living leader.
+        return silentMs < if (leader == null) leaseMs * ELECTION_LEASES else leaseMs * 5 / 4
     }
 
     private suspend fun user(method: String, path: String, body: ByteArray, forwarded: Boolean): HttpReply {
@@ -234,8 +254,8 @@
         /** A worker that comes back within so many report periods couldn't reach the leader. */
         const val RELAY_REPORTS = 5
 
-        /** An election takes one lease, which is one report period. */
-        const val READY_REPORTS = 2
+        /** An election takes one lease, its replay, and the leader's first word to its peers. */
+        const val ELECTION_LEASES = 3
         const val MOST_REDIRECTED = 100_000
     }
 }
--- a/src/main/kotlin/cleathitch/config/OperatorSettings.kt
+++ b/src/main/kotlin/cleathitch/config/OperatorSettings.kt
@@ -11,13 +11,11 @@
 /**
  * The operators' own settings, one EDN map; a key left out keeps its default, an unknown one is an error.
  *
- *     {:trim-s 10 :looks 100 :cloud-share 0.8}
+ *     {:trim-s 10 :cloud-share 0.8}
  */
 data class OperatorSettings(
     /** How often records are folded and trimmed. */
     val trimS: Double? = null,
-    /** Up to how many machines are looked at whole for each class of tasks. */
-    val looks: Int? = null,
     /** What the leader may take of the cloud's calls. */
     val cloudShare: Double? = null,
 ) {
@@ -33,7 +31,6 @@
                     ?: throw BadSettings(file, ":$name", "must be a number above zero")
                 settings = when (name) {
                     "trim-s" -> settings.copy(trimS = number)
-                    "looks" -> settings.copy(looks = number.toInt().coerceAtLeast(1))
                     "cloud-share" -> {
                         if (number > 1) throw BadSettings(file, ":$name", "must be 1 at most")
                         settings.copy(cloudShare = number)
--- a/src/main/kotlin/cleathitch/core/Commands.kt
+++ b/src/main/kotlin/cleathitch/core/Commands.kt
@@ -46,6 +46,8 @@
         val orders: List<Order>,
     ) : Effect
 
+    /** Asks a machine for its report. */
+    data class Inspect(val machine: MachineId, val addr: String) : Effect
     data class Rent(val asked: Event.RentalAsked) : Effect
     data class Return(val machines: List<MachineId>) : Effect
     data class StepDown(val reason: String) : Effect
--- a/src/main/kotlin/cleathitch/core/Engine.kt
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -1,7 +1,5 @@
 package cleathitch.core
 
-import kotlin.random.Random
-
 /**
  * The leader's mind during one term: takes commands in batches and yields effects. It has no clock,
  * no randomness and no connections of its own.
@@ -16,23 +14,22 @@
     snapshot: Snapshot,
     start: Moment,
     sizes: Journal.Sizes,
-    random: Random,
 ) {
-    private class Gate(val seq: Seq, val effect: Effect, val giveUpMs: Long?)
+    private class Gate(val seq: Seq, val answer: Effect.Answer, val giveUpMs: Long)
 
     private val ledger = Ledger()
     private val fleet = Fleet(deployment, ledger)
     private val quota = Quota(deployment.teams, ledger)
     private val journal = Journal(deployment, sizes)
-    private val placement = Placement(fleet, ledger, tuning.sample, random)
+    private val placement = Placement(fleet, ledger)
 
     /** For each class, within how many seconds its jobs should be finished. */
     private val aims = deployment.objectives.filterIsInstance<Objective.Finished>().groupBy({ it.className }, { it.withinS })
     private val effects = ArrayList<Effect>()
     private val gates = ArrayList<Gate>()
 
-    /** Outcomes on their way to the journal; an exited attempt is forgotten on its machine after that. */
-    private val outcomes = HashMap<AttemptId, Seq>()
+    /** Outcomes on their way to the journal, by machine; an exited attempt is forgotten there after that. */
+    private val outcomes = HashMap<MachineId, HashMap<AttemptId, Seq>>()
 
     /** Machines to which new orders go as soon as a record is committed. */
     private val toPush = HashMap<Seq, MutableSet<MachineId>>()
@@ -47,9 +44,18 @@
     private var now = start
     private val startedMs = start.steadyMs
     private var heldUntilMs = start.steadyMs
-    private var version = OrderVersion.first(term.revision)
+    private val firstVersion = OrderVersion.first(term.revision)
+    private var version = firstVersion
     private var writeSinceMs: Long? = null
+    private var lastWriteMs = 0L
+    private val budget = WriteBudget(deployment.stateWriteRps * WRITE_SHARE, start.steadyMs)
+
+    /** Something in the journal's queue is waited for. */
+    private var urgent = false
+    private var trimming = false
     private var lastRoundMs = 0L
+    private var lastWatchMs = 0L
+    private var lastReturnMs = 0L
     private var lastFleetMs = 0L
     private var lastTrimMs = start.steadyMs
     private var rentCount = 0L
@@ -86,17 +92,23 @@
     val openJobs get() = ledger.jobs.size
     val machineCount get() = fleet.machines.size
 
+    /** How often rounds weighed a task against a machine: what a round's time grows with. */
+    var looks = 0L
+        private set
+
     fun handle(batch: List<Command>, now: Moment): List<Effect> {
         this.now = now
         effects.clear()
         for (command in batch) if (!stepped) take(command)
         if (!stepped) {
-            watchMachines()
-            if (mayDecide()) {
-                round()
-                resizeFleet()
+            // What looks at every machine is done now and then; a batch costs what its commands change.
+            if (now.steadyMs - lastWatchMs >= tuning.roundMs) {
+                lastWatchMs = now.steadyMs
+                watchMachines()
+                sendFleetOrders()
             }
-            sendFleetOrders()
+            if (mayPlace()) round()
+            if (settled()) resizeFleet()
             expireGates()
             write()
         }
@@ -134,6 +146,7 @@
 
     private fun append(event: Event): Seq {
         val seq = journal.append(event)
+        if (event !is Event.TaskDone && event !is Event.AttemptOver) urgent = true
         when (event) {
             is Event.OfJob -> ledger.apply(event, seq)
             is Event.OfFleet -> fleet.apply(event)
@@ -141,12 +154,26 @@
         return seq
     }
 
+    /**
+     * Writes what somebody waits for at once, and the rest once a round, as far as the state service's
+     * budget of changes goes; half of a second's worth of it is never spent on trimming.
+     */
     private fun write() {
-        // A trim takes half a transaction; what it leaves is not left for a whole period.
-        val trimMs = if (journal.keptRecords > deployment.stateTxnOps) minOf(tuning.roundMs * 4, tuning.trimMs) else tuning.trimMs
-        val trimDue = now.steadyMs - lastTrimMs >= trimMs
-        val commit = journal.next(term, ledger, fleet::cell, trimDue) ?: return
-        if (trimDue) lastTrimMs = now.steadyMs
+        if (!journal.idle) return
+        if (now.steadyMs - lastTrimMs >= tuning.trimMs) {
+            lastTrimMs = now.steadyMs
+            trimming = true
+        }
+        val allowed = budget.left(now.steadyMs)
+        val trimChanges = if (trimming) minOf(deployment.stateTxnOps / 2, allowed - budget.burst / 2) else 0
+        val mayTrim = trimChanges >= LEAST_TRIM
+        val due = journal.pending && (urgent || now.steadyMs - lastWriteMs >= tuning.roundMs) && allowed >= 2
+        if (!due && !mayTrim) return
+        val commit = journal.next(term, ledger, fleet::cell, if (mayTrim) trimChanges else 0) ?: return
+        if (mayTrim) trimming = journal.trimCutShort
+        budget.take(commit.changes.sumOf { if (it is Change.Put) it.parts else 1 })
+        lastWriteMs = now.steadyMs
+        urgent = journal.pending
         writeSinceMs = now.steadyMs
         effects += Effect.Write(commit)
     }
@@ -158,28 +185,22 @@
         val (open, rest) = gates.partition { it.seq <= journal.committed }
         gates.clear()
         gates += rest
-        open.forEach { effects += it.effect }
+        open.forEach { effects += it.answer }
         val machines = toPush.filterKeys { it <= journal.committed }
         machines.keys.forEach(toPush::remove)
         machines.values.flatMapTo(LinkedHashSet()) { it }.forEach { id -> fleet.machines[id]?.let(::push) }
+        sendFleetOrders()
     }
 
-    private fun gate(seq: Seq, effect: Effect, patient: Boolean = false) {
-        if (seq <= journal.committed) {
-            effects += effect
-        } else {
-            gates += Gate(seq, effect, if (patient) null else now.steadyMs + tuning.intakeMs)
-        }
+    private fun gate(seq: Seq, answer: Effect.Answer) {
+        if (seq <= journal.committed) effects += answer else gates += Gate(seq, answer, now.steadyMs + tuning.intakeMs)
     }
 
     private fun expireGates() {
-        val late = gates.filter { it.giveUpMs != null && it.giveUpMs <= now.steadyMs }
+        val late = gates.filter { it.giveUpMs <= now.steadyMs }
         if (late.isEmpty()) return
         gates.removeAll(late.toSet())
-        late.forEach { gate ->
-            val answer = gate.effect as? Effect.Answer ?: return@forEach
-            effects += Effect.Answer(answer.request, UserReply.NotNow("the state service is slow"))
-        }
+        late.forEach { answer(it.answer.request, UserReply.NotNow("the state service is slow")) }
     }
 
     // ---- users
@@ -262,9 +283,13 @@
             return
         }
         val machine = fleet.machines.getValue(report.machine)
+        machine.lastReportMs = now.steadyMs
+        // Its next report shows the version of our last answer, unless that didn't reach it.
+        machine.answersLost = if (report.version < machine.answered) machine.answersLost + 1 else 0
         val orders = ordersFor(machine)
         if (orders.isNotEmpty()) version = version.next()
         noteSent(orders)
+        machine.answered = version
         effects += Effect.AnswerReport(request, version, orders)
     }
 
@@ -290,7 +315,9 @@
         machine.session = report.session
         machine.seq = report.seq
         machine.version = maxOf(machine.version, report.version)
-        machine.lastReportMs = now.steadyMs
+        if (report.version >= firstVersion) machine.confirmed = true
+        machine.lastHeardMs = now.steadyMs
+        machine.probes = 0
         machine.leaseEndMs = maxOf(machine.leaseEndMs, leaseEndFromNow())
         machine.noticeAtMs = report.noticeS?.let { now.steadyMs + (it * 1000).toLong() }
         machine.reported = report.tasks
@@ -319,7 +346,7 @@
                 seen(machine, attempt, task)
             } else if (task.state == TaskState.EXITED && task.why == ExitReason.DONE) {
                 // A result is kept outside the machine, whichever attempt brought it about.
-                ledger.job(task.attempt.task.job)?.let { finish(it, task.attempt) }
+                ledger.job(task.attempt.task.job)?.let { finish(machine, it, task.attempt) }
             }
         }
         for (attempt in ledger.attemptsOn(machine.id).toList()) {
@@ -327,7 +354,10 @@
             attempt.seen = null
             if (attempt.stop != null && surelyGone(attempt, machine)) over(attempt)
         }
-        outcomes.keys.removeAll { it !in shown && outcomes.getValue(it) <= journal.committed && ledger.attempt(it) == null }
+        outcomes[machine.id]?.let { own ->
+            own.entries.removeAll { (id, seq) -> id !in shown && seq <= journal.committed }
+            if (own.isEmpty()) outcomes.remove(machine.id)
+        }
         if (ledger.attemptsOn(machine.id).isNotEmpty()) machine.idleSinceMs = now.steadyMs
     }
 
@@ -345,7 +375,7 @@
             }
             TaskState.EXITED -> {
                 when (task.why) {
-                    ExitReason.DONE -> finish(job, attempt.id)
+                    ExitReason.DONE -> if (!job.done[attempt.id.task.index]) return finish(machine, job, attempt.id)
                     ExitReason.ERROR -> {
                         machine.faults++
                         delay(job)
@@ -370,20 +400,25 @@
         job.notBeforeMs = now.steadyMs + minOf(most, tuning.roundMs shl minOf(job.failures - 1, 20))
     }
 
-    private fun finish(job: Job, attempt: AttemptId) {
+    /** A task's result is there; if the job's live attempt of it brought it about, that is over, too. */
+    private fun finish(machine: Machine, job: Job, attempt: AttemptId) {
         if (job.done[attempt.task.index]) return
         note(NoteLevel.DEBUG) { "task $attempt is done" }
-        outcomes[attempt] = append(Event.TaskDone(job.id, attempt.task.index))
+        noteOutcome(machine.id, attempt, append(Event.TaskDone(job.id, attempt.task.index, attempt.number)))
         job.failures = 0
-        val elsewhere = job.live[attempt.task.index]
-        if (elsewhere != null && elsewhere.id != attempt) elsewhere.stop = StopCause.STRAY
+        job.live[attempt.task.index]?.stop = StopCause.STRAY
+        if (ledger.attemptsOn(machine.id).isEmpty()) machine.idleSinceMs = now.steadyMs
         stopIfOver(job)
         if (job.finishedSeq != null) note(NoteLevel.DEBUG) { "job ${job.id} is done" }
     }
 
+    private fun noteOutcome(machine: MachineId, attempt: AttemptId, seq: Seq) {
+        outcomes.getOrPut(machine) { HashMap() }[attempt] = seq
+    }
+
     /** The attempt is surely gone; its task may start again. */
     private fun over(attempt: Attempt) {
-        outcomes[attempt.id] = append(Event.AttemptOver(attempt.id.task.job, attempt.id.task.index, attempt.id.number))
+        noteOutcome(attempt.machine, attempt.id, append(Event.AttemptOver(attempt.id.task.job, attempt.id.task.index, attempt.id.number)))
         val machine = fleet.machines[attempt.machine] ?: return
         if (ledger.attemptsOn(machine.id).isEmpty()) machine.idleSinceMs = now.steadyMs
     }
@@ -413,7 +448,7 @@
             val attempt = ledger.attempt(task.attempt)?.takeIf { it.machine == machine.id }
             when {
                 task.state == TaskState.EXITED ->
-                    if (attempt == null && (outcomes[task.attempt] ?: Seq.NONE) <= journal.committed) {
+                    if (attempt == null && (outcomes[machine.id]?.get(task.attempt) ?: Seq.NONE) <= journal.committed) {
                         forgets += Order.Forget(task.attempt)
                     }
                 attempt == null -> stops += Order.Stop(task.attempt, 0.0)
@@ -477,22 +512,52 @@
         for (id in ledger.machinesInUse.toList()) {
             if (id !in fleet.machines && now.steadyMs >= inheritedLeaseEndMs) ledger.attemptsOn(id).toList().forEach(::over)
         }
-        if (!mayDecide() || now.steadyMs - startedMs < tuning.silentMs + tuning.takeOverMs) return
+        if (!settled()) return
+        findSilent()
+        findDeaf()
+        fleet.neverUp(now.steadyMs).forEach { retire(it.id, "it never came up") }
+    }
+
+    /**
+     * A machine that skips a report is asked directly; one that doesn't answer that either is returned,
+     * since the cloud's word that it is gone frees its tasks long before its lease ends.
+     */
+    private fun findSilent() {
         val up = fleet.machines.values.filter { it.state == MachineState.UP }
-        val silent = up.filter { now.steadyMs - (it.lastReportMs ?: startedMs) >= tuning.silentMs }
-        // Many at once: more likely we are the ones cut off.
+        val quiet = up.filter { quietMs(it) >= tuning.probeMs }
+        val silent = quiet.filter { it.probes >= PROBES || it.addr == null }.filter { quietMs(it) >= tuning.silentMs }
+        // Many at once: more likely we are the ones cut off, and then their leases decide.
         if (silent.size <= maxOf(1, up.size / 2)) silent.forEach { retire(it.id, "it is silent") }
-        ledger.machinesInUse.filter { it !in fleet.machines && it !in fleet.retired }
-            .forEach { retire(it, "it hasn't reported since the take-over") }
-        fleet.neverUp(now.steadyMs).forEach { retire(it.id, "it never came up") }
+        quiet.filter { it.state == MachineState.UP && now.steadyMs - it.probedMs >= tuning.probeGapMs }
+            .take(MOST_PROBES).forEach { machine ->
+                machine.probes++
+                machine.probedMs = now.steadyMs
+                machine.addr?.let { effects += Effect.Inspect(machine.id, it) }
+            }
+        // It answers, but its own reports reach nobody: its lease has run out, and nothing can run there.
+        up.filter { now.steadyMs - (it.lastReportMs ?: startedMs) >= tuning.lostMs }.forEach {
+            if (it.state == MachineState.UP) retire(it.id, "its reports don't arrive")
+        }
+        if (now.steadyMs - startedMs >= tuning.lostMs) {
+            ledger.machinesInUse.filter { it !in fleet.machines && it !in fleet.retired }
+                .forEach { retire(it, "it hasn't reported since the take-over") }
+        }
     }
 
+    /** Machines whose reports arrive while our answers don't: their leases run out again and again. */
+    private fun findDeaf() {
+        val deaf = fleet.machines.values.filter { it.state == MachineState.UP && it.deaf }
+        // Many at once: more likely our answers come too late, and they aren't to blame.
+        if (deaf.size <= maxOf(1, fleet.machines.size / DEAF_SHARE)) deaf.forEach { retire(it.id, "no answer reaches it") }
+    }
+
+    private fun quietMs(machine: Machine) = now.steadyMs - (machine.lastHeardMs ?: startedMs)
+
     private fun retire(id: MachineId, reason: String) {
-        val seq = append(Event.MachineRetired(id))
+        // What isn't settled yet has to fit into one value.
+        if (fleet.retired.size >= MOST_RETIRED) return
+        fleetSeqs[id.text] = append(Event.MachineRetired(id))
         note(NoteLevel.INFO) { "machine $id is returned: $reason" }
-        gate(seq, Effect.Return(listOf(id)), patient = true)
-        returnSentAtMs[id] = now.steadyMs
-        fleetSeqs[id.text] = seq
     }
 
     private fun confirmGone(id: MachineId) {
@@ -517,7 +582,11 @@
         )
         machine.listed = true
         if (machine.addr == null) machine.addr = listed.addr
-        if (listed.state == ListedState.FAILED && machine.state != MachineState.RETIRED && mayDecide()) {
+        // Tasks may run there though it never reported in this term: it can be missed like any other.
+        if (listed.state == ListedState.RUNNING && machine.state == MachineState.STARTING && ledger.attemptsOn(machine.id).isNotEmpty()) {
+            machine.state = MachineState.UP
+        }
+        if (listed.state == ListedState.FAILED && machine.state != MachineState.RETIRED && settled()) {
             retire(machine.id, "it has failed")
         }
     }
@@ -528,7 +597,7 @@
         val asked = fleet.rentals[command.request] ?: return
         when (val answer = command.answer) {
             is RentalAnswer.Rented -> {
-                answer.machines.filter { it !in gone }.forEach { adopt(it, asked.offer, now.steadyMs) }
+                answer.machines.filter { it !in gone }.forEach { adopt(it, asked.offer, now.steadyMs).confirmed = true }
                 if (answer.machines.size < asked.count) fleet.refused(asked.offer, now.steadyMs)
                 append(Event.RentalSettled(command.request))
                 note(NoteLevel.INFO) { "rental ${command.request}: ${answer.machines.size} of ${asked.count} ${asked.offer}" }
@@ -553,101 +622,107 @@
                 effects += Effect.Rent(asked)
             }
         }
-        val again = fleet.retired.filter { id ->
-            val sent = returnSentAtMs[id]
-            recorded(id.text) && (sent == null || now.steadyMs - sent >= againMs)
-        }.take(RETURNS_PER_CALL)
-        if (again.isNotEmpty()) {
-            again.forEach { returnSentAtMs[it] = now.steadyMs }
-            effects += Effect.Return(again)
+        // Returns go many to a call; the gap gathers them.
+        if (fleet.retired.isNotEmpty() && now.steadyMs - lastReturnMs >= tuning.returnGapMs) {
+            val due = fleet.retired.filter { id ->
+                val sent = returnSentAtMs[id]
+                recorded(id.text) && (sent == null || now.steadyMs - sent >= againMs)
+            }.take(RETURNS_PER_CALL)
+            if (due.isNotEmpty()) {
+                lastReturnMs = now.steadyMs
+                due.forEach { returnSentAtMs[it] = now.steadyMs }
+                effects += Effect.Return(due)
+            }
         }
-        returnSentAtMs.keys.retainAll(fleet.retired)
+        if (returnSentAtMs.size > fleet.retired.size) returnSentAtMs.keys.retainAll(fleet.retired)
     }
 
     private fun recorded(name: String) = (fleetSeqs[name] ?: Seq.NONE) <= journal.committed
 
     // ---- decisions
 
-    /** No new decision before the machines had time to report, and none without a lease. */
-    private fun mayDecide() = leaseHeld() && now.steadyMs - startedMs >= tuning.takeOverMs && fleet.types.isNotEmpty()
+    /**
+     * No decision without a lease. A machine gets tasks as soon as it has reported in this term: its
+     * report and the ledger tell what may run there. Only what depends on machines that may not have
+     * reported yet, as renting and returning, waits for a report period.
+     */
+    private fun mayPlace() = leaseHeld() && fleet.types.isNotEmpty()
+    private fun settled() = mayPlace() && now.steadyMs - startedMs >= tuning.takeOverMs
 
     private fun round() {
-        if (now.steadyMs - lastRoundMs < tuning.roundMs || !journal.idle) return
+        if (now.steadyMs - lastRoundMs < tuning.roundMs || !journal.idle || journal.backlog > MOST_BACKLOG) return
         lastRoundMs = now.steadyMs
-        val usable = fleet.machines.values.filter {
-            it.state == MachineState.UP && it.noticeAtMs == null && it.fullUntilMs <= now.steadyMs &&
-                now.steadyMs - (it.lastReportMs ?: 0) < tuning.silentMs
-        }
-        val jobs = ledger.jobs.filter { it.waiting > 0 && it.notBeforeMs <= now.steadyMs }
-            .sortedWith(
-                compareBy<Job>({ it.spec.priority }, { !quota.insideGuarantee(it.spec) }, { missedAims(it) })
-                    .thenBy { if (missedAims(it) == 0) it.waiting * it.spec.estimateS else 0.0 }
-                    .thenBy { it.wallMs },
-            )
+        val waiting = ledger.jobs.filter { it.waiting > 0 && it.notBeforeMs <= now.steadyMs }
+        if (waiting.isEmpty()) {
+            demands = emptyList()
+            return
+        }
+        val usable = fleet.machines.values.filter(::usable)
+        val look = placement.Look(usable, now.steadyMs)
         val stuck = HashSet<PlacementClass>()
         val lacking = ArrayList<Lack>()
-        for (job in jobs) place(job, usable, stuck, lacking)
+        val jobs = Queue(aims, quota, now.wallMs).order(waiting)
+        // However long the queue, each job begins in time: overdue ones get their first task before the rest.
+        for (job in jobs) if (Queue.overdue(job, now.wallMs)) place(job, look, stuck, lacking, most = 1)
+        lacking.clear()
+        for (job in jobs) place(job, look, stuck, lacking)
         demands = Forecast(deployment, fleet, ledger).demands(lacking)
+        looks += look.looks
     }
 
-    /**
-     * How many of its class's aims a job can't meet any more. Jobs that can still meet all go first, the
-     * shortest of them before the others, so that as many as possible do.
-     */
-    private fun missedAims(job: Job): Int {
-        val ageS = (now.wallMs - job.wallMs) / 1000.0
-        return aims[job.spec.className].orEmpty().count { ageS + job.spec.estimateS > it }
-    }
+    private fun usable(machine: Machine) = machine.state == MachineState.UP && machine.noticeAtMs == null &&
+        machine.fullUntilMs <= now.steadyMs && machine.confirmed && !machine.deaf && quietMs(machine) < tuning.probeMs
 
     private fun place(
         job: Job,
-        usable: List<Machine>,
+        look: Placement.Look,
         stuck: MutableSet<PlacementClass>,
         lacking: MutableList<Lack>,
+        most: Int = Int.MAX_VALUE,
     ) {
         val shape = job.spec.placementClass
-        if (job.spec.kind == JobKind.GANG) return placeGang(job, usable, lacking)
-        while (true) {
+        if (job.spec.kind == JobKind.GANG) return placeGang(job, look, lacking)
+        var placed = 0
+        while (placed < most) {
             val index = job.nextWaiting() ?: return
             if (!quota.allows(job.spec)) return
-            val machine = if (shape in stuck) null else placement.choose(job, usable)
+            val machine = if (shape in stuck) null else look.choose(job)
             if (machine == null) {
                 // What fits nowhere for one job fits nowhere for its like, unless other tasks of the job decide.
                 if (!job.spec.oneZone && !job.spec.spread) stuck += shape
-                lacking += Lack(job.spec, minOf(job.waiting, quota.roomFor(job.spec)))
-                preempt(job, usable)
+                val count = minOf(job.waiting, quota.roomFor(job.spec))
+                lacking += Lack(job.spec, count)
+                preempt(job, look, count)
                 return
             }
             start(job, index, machine)
+            placed++
         }
     }
 
     /** Makes room for a job's next tasks by stopping work of lower priority, as the page allows. */
-    private fun preempt(job: Job, usable: List<Machine>) {
-        val spec = job.spec
-        if (spec.priority != Priority.PRODUCTION || job.roomComingMs > now.steadyMs) return
-        repeat(minOf(job.waiting, quota.roomFor(spec))) {
-            val victims = placement.victims(job, usable, { it.job.spec.priority > spec.priority }, now.steadyMs) ?: return
-            job.roomComingMs = now.steadyMs + (deployment.reportS * 1000).toLong()
-            for (victim in victims) {
-                victim.stop = StopCause.PREEMPTED
-                note(NoteLevel.DEBUG) { "task ${victim.id} on machine ${victim.machine} makes room for job ${job.id}" }
-            }
-            victims.firstOrNull()?.let { victim -> fleet.machines[victim.machine]?.let(::push) }
+    private fun preempt(job: Job, look: Placement.Look, count: Int) {
+        if (job.spec.priority != Priority.PRODUCTION || !settled()) return
+        val machines = LinkedHashSet<Machine>()
+        for (victim in look.victims(job, count)) {
+            victim.stop = StopCause.PREEMPTED
+            note(NoteLevel.DEBUG) { "task ${victim.id} on machine ${victim.machine} makes room for job ${job.id}" }
+            fleet.machines[victim.machine]?.let { machines += it }
         }
+        machines.forEach(::push)
     }
 
     /** A gang is started whole, and again only when nothing of an earlier start is left. */
-    private fun placeGang(job: Job, usable: List<Machine>, lacking: MutableList<Lack>) {
+    private fun placeGang(job: Job, look: Placement.Look, lacking: MutableList<Lack>) {
         if (job.live.isNotEmpty() || quota.roomFor(job.spec) < job.waiting) return
-        val machines = placement.chooseAll(job, usable)
+        val machines = look.chooseAll(job)
         if (machines == null) {
             lacking += Lack(job.spec, job.waiting)
             return
         }
-        journal.keepTogether(machines.size)
         // The tasks of a gang find each other by their attempt, so one number serves them all.
         val number = job.lastNumber + 1
+        journal.keepTogether(machines.mapIndexed { index, machine -> Event.AttemptStarted(job.id, index, number, machine.id) })
         for (machine in machines) start(job, job.nextWaiting() ?: return, machine, number)
     }
 
@@ -665,10 +740,7 @@
         if (room > 0) {
             for ((offer, count) in fleet.wanted(demands, now.steadyMs, room)) {
                 val asked = Event.RentalAsked("$requestPrefix${rentCount++}", offer, count)
-                val seq = append(asked)
-                rentSentAtMs[asked.request] = now.steadyMs
-                fleetSeqs[asked.request] = seq
-                gate(seq, Effect.Rent(asked), patient = true)
+                fleetSeqs[asked.request] = append(asked)
                 note(NoteLevel.INFO) { "rental ${asked.request}: asking for $count $offer" }
             }
         }
@@ -688,9 +760,28 @@
         /** Names of machines that are gone, kept to tell late reports from new machines. */
         const val GONE_KEPT = 4096
 
+        /** What the leader may spend of the state service's changes; elections need a few, too. */
+        const val WRITE_SHARE = 0.8
+
+        /** A trim that could make fewer changes isn't worth a commit. */
+        const val LEAST_TRIM = 4
+
         /** The page's limit for one call. */
         const val RETURNS_PER_CALL = 100
 
+        /** Returns that aren't confirmed yet stand in one value with the rentals; a name takes some 20 bytes there. */
+        const val MOST_RETIRED = 300
+
+        /** Direct questions to a silent machine before it is given up, and how many machines are asked at a time. */
+        const val PROBES = 2
+        const val MOST_PROBES = 50
+
+        /** Up to one machine in so many may be called deaf. */
+        const val DEAF_SHARE = 10
+
+        /** Rounds wait while more records than these wait to be written. */
+        const val MOST_BACKLOG = 2
+
         /** The fleet is looked at about as often as machines' lists can show anything new. */
         const val FLEET_ROUND_MS = 1000L
     }
--- a/src/main/kotlin/cleathitch/core/Events.kt
+++ b/src/main/kotlin/cleathitch/core/Events.kt
@@ -1,13 +1,17 @@
 package cleathitch.core
 
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborArray
 
 /**
  * What the journal records. Replaying the events of a cell in order gives the cell's state again;
  * replay reads decisions, never their inputs. Each event touches one cell only, so that a cell can be
- * written out ("folded") and its events trimmed without regard to the others.
+ * written out ("folded") and its events trimmed without regard to the others. The events of which there
+ * are many are stored as arrays, without their fields' names: a start takes a third of the room so.
  */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 sealed interface Event {
     sealed interface OfJob : Event {
@@ -27,6 +31,7 @@
     data class JobCancelled(override val job: JobId) : OfJob
 
     @Serializable
+    @CborArray
     @SerialName("start")
     data class AttemptStarted(
         override val job: JobId,
@@ -37,12 +42,15 @@
 
     /** The attempt is surely gone from its machine; the task may start elsewhere. */
     @Serializable
+    @CborArray
     @SerialName("over")
     data class AttemptOver(override val job: JobId, val index: Int, val number: Long) : OfJob
 
+    /** The task's result is there; if its live attempt is [number], that is over. */
     @Serializable
+    @CborArray
     @SerialName("done")
-    data class TaskDone(override val job: JobId, val index: Int) : OfJob
+    data class TaskDone(override val job: JobId, val index: Int, val number: Long) : OfJob
 
     @Serializable
     @SerialName("rent")
@@ -69,6 +77,7 @@
 enum class FinalState { DONE, CANCELLED }
 
 @Serializable
+@CborArray
 data class LiveAttempt(val index: Int, val number: Long, val machine: MachineId)
 
 /** A job's cell as it stands after the record [upTo]. */
--- a/src/main/kotlin/cleathitch/core/Fleet.kt
+++ b/src/main/kotlin/cleathitch/core/Fleet.kt
@@ -17,8 +17,25 @@
     var session = 0L
     var seq = 0L
     var version = OrderVersion.NONE
+    /** When it was last heard of in any way, and when its last report that we could answer came. */
+    var lastHeardMs: Long? = null
     var lastReportMs: Long? = null
 
+    /** The version of our last answer to it, and how many answers in a row its reports show it didn't get. */
+    var answered = OrderVersion.NONE
+    var answersLost = 0
+    val deaf get() = answersLost >= DEAF_ANSWERS
+
+    /**
+     * It surely lives: rented in this term, or it has shown a version of this term. The first that a new
+     * leader hears of a machine may be a late copy of a report, and the machine long gone.
+     */
+    var confirmed = false
+
+    /** Direct questions since it was last heard of, and when the last was asked. */
+    var probes = 0
+    var probedMs = 0L
+
     /** Until then its tasks may run even if it is never heard of again. */
     var leaseEndMs = 0L
     var noticeAtMs: Long? = null
@@ -44,6 +61,11 @@
 
     fun forgetImages() = images.clear()
     fun newerThan(report: Report) = report.session < session || (report.session == session && report.seq <= seq)
+
+    private companion object {
+        /** One answer is lost now and then, and a report may cross an answer; three in a row are no accident. */
+        const val DEAF_ANSWERS = 3
+    }
 }
 
 /** Which machines there are, and which to rent and return. */
@@ -54,10 +76,15 @@
     var types: Map<String, MachineType> = emptyMap()
         set(value) {
             field = value
+            zones = value.values.flatMapTo(LinkedHashSet()) { it.zones }
             machines.values.forEach { machine -> value[machine.offer.type]?.let { machine.type = it } }
         }
 
-    /** Asked for and recorded; null until the cloud has been asked. */
+    /** All zones in which there are machines to rent. */
+    var zones: Set<String> = emptySet()
+        private set
+
+    /** Asked for and recorded, and not answered yet. */
     val rentals = LinkedHashMap<String, Event.RentalAsked>()
     val retired = LinkedHashSet<MachineId>()
     private val refusedUntilMs = HashMap<Offer, Long>()
@@ -198,7 +225,8 @@
         private const val REFUSAL_REPORTS = 3.0
         private const val ROUNDING = 1e-6
 
-        private fun slots(shape: PlacementClass, cpus: Double, gpus: Double, memoryGb: Double): Int {
+        /** How many tasks of [shape] fit into as much. */
+        fun slots(shape: PlacementClass, cpus: Double, gpus: Double, memoryGb: Double): Int {
             var n = Double.MAX_VALUE
             if (shape.cpus > 0) n = min(n, (cpus + ROUNDING) / shape.cpus)
             if (shape.gpus > 0) n = min(n, (gpus + ROUNDING) / shape.gpus)
--- a/src/main/kotlin/cleathitch/core/Journal.kt
+++ b/src/main/kotlin/cleathitch/core/Journal.kt
@@ -33,7 +33,6 @@
     interface Sizes {
         fun of(event: Event): Int
         fun of(cell: JobCell): Int
-        val ofStart: Int
     }
 
     private class Building(val seq: Seq) {
@@ -43,8 +42,10 @@
 
     private class Kept(record: List<Event>) {
         val cells = record.mapTo(HashSet(), ::cellOf)
+
+        /** Starts that no report has shown yet, as far as was looked. */
         val starts = record.filterIsInstance<Event.AttemptStarted>()
-            .map { AttemptId(TaskId(it.job, it.index), it.number) }
+            .mapTo(ArrayList()) { AttemptId(TaskId(it.job, it.index), it.number) }
     }
 
     private val queue = ArrayDeque<Building>()
@@ -63,7 +64,13 @@
 
     val idle get() = inFlight == null
     val pending get() = queue.isNotEmpty()
-    val keptRecords get() = kept.size
+
+    /** Records that wait for a commit. */
+    val backlog get() = queue.size
+
+    /** The last trim left something over for want of changes or bytes. */
+    var trimCutShort = false
+        private set
 
     /** Notes an event for the next commit and tells in which record it will be. */
     fun append(event: Event): Seq {
@@ -80,8 +87,8 @@
     }
 
     /** Makes room for as many starts in one record, if one can hold them. */
-    fun keepTogether(starts: Int) {
-        val size = starts * sizes.ofStart
+    fun keepTogether(starts: List<Event.AttemptStarted>) {
+        val size = starts.sumOf(sizes::of)
         val limit = deployment.stateValueBytes * RECORD_FILL
         val current = queue.lastOrNull() ?: return
         if (size <= limit && current.bytes + size > limit) {
@@ -104,20 +111,30 @@
         }
     }
 
-    /** The next transaction, if none is under way and there is something to write. */
-    fun next(term: Term, ledger: Ledger, fleetCell: (Seq) -> FleetCell, trimDue: Boolean): Commit? {
+    /** The next transaction, if none is under way and there is something to write; trims with up to [trimChanges]. */
+    fun next(term: Term, ledger: Ledger, fleetCell: (Seq) -> FleetCell, trimChanges: Int): Commit? {
         if (inFlight != null) return null
-        if (queue.isEmpty() && !(trimDue && kept.isNotEmpty())) return null
-        val building = queue.removeFirstOrNull()
-        val seq = building?.seq ?: last.next().also { last = it }
+        if (queue.isEmpty() && (trimChanges == 0 || kept.isEmpty())) {
+            trimCutShort = false
+            return null
+        }
+        val records = ArrayList<Building>()
+        var bytes = 0
+        while (queue.isNotEmpty() && records.size < deployment.stateTxnOps / 4) {
+            bytes += queue.first().bytes
+            if (records.isNotEmpty() && bytes > TXN_BYTES * TXN_FILL) break
+            records += queue.removeFirst()
+        }
+        val seq = records.lastOrNull()?.seq ?: last.next().also { last = it }
         val changes = ArrayList<Change>()
         changes += Change.Put(HEAD, Stored.Head(seq, term))
-        if (building != null) {
-            changes += Change.Put(recordKey(seq), Stored.OfRecord(Record(building.events.toList())))
-            kept[seq] = Kept(building.events)
+        for (record in records) {
+            changes += Change.Put(recordKey(record.seq), Stored.OfRecord(Record(record.events.toList())))
+            kept[record.seq] = Kept(record.events)
         }
         // The state in memory is the state after this record only if no later one is waiting.
-        if (trimDue && queue.isEmpty()) trim(seq, ledger, fleetCell, changes)
+        trimCutShort = trimChanges > 0
+        if (trimChanges > 0 && queue.isEmpty()) trim(seq, ledger, fleetCell, changes, changes.size + trimChanges)
         return Commit(seq, changes).also { inFlight = it }
     }
 
@@ -127,18 +144,22 @@
         committed = seq
     }
 
-    private fun trim(seq: Seq, ledger: Ledger, fleetCell: (Seq) -> FleetCell, changes: MutableList<Change>) {
+    private fun trim(seq: Seq, ledger: Ledger, fleetCell: (Seq) -> FleetCell, changes: MutableList<Change>, opLimit: Int) {
+        trimCutShort = false
         var bytes = 0
         val byteLimit = TXN_BYTES * TXN_FILL
-        val opLimit = deployment.stateTxnOps / 2
         val finished = ArrayList<Job>()
         records@ for ((record, content) in kept.entries.toList()) {
             if (record == seq) break
             // As the design asks: a start stays on record until a report has shown it.
-            if (content.starts.any { id -> ledger.attempt(id)?.let { it.seen == null } == true }) continue
+            content.starts.removeIf { id -> ledger.attempt(id)?.let { it.seen != null } ?: true }
+            if (content.starts.isNotEmpty()) continue
             for (cell in content.cells) {
                 if ((foldedUpTo[cell] ?: Seq.NONE) >= record) continue
-                if (changes.size >= opLimit || bytes >= byteLimit) break@records
+                if (changes.size >= opLimit || bytes >= byteLimit) {
+                    trimCutShort = true
+                    break@records
+                }
                 if (cell == FLEET) {
                     changes += Change.Put(FLEET, Stored.OfFleet(fleetCell(seq)))
                 } else {
@@ -154,7 +175,10 @@
                     } else {
                         val stored = ledger.cellOf(job, seq)
                         val size = sizes.of(stored)
-                        if (bytes + size > byteLimit) break@records
+                        if (bytes > 0 && bytes + size > byteLimit) {
+                            trimCutShort = true
+                            break@records
+                        }
                         bytes += size
                         val parts = ceil(size / (deployment.stateValueBytes * RECORD_FILL)).toInt()
                         job.partsWritten = maxOf(job.partsWritten, parts)
@@ -163,7 +187,10 @@
                 }
                 foldedUpTo[cell] = seq
             }
-            if (changes.size >= opLimit) break
+            if (changes.size >= opLimit) {
+                trimCutShort = true
+                break
+            }
             kept.remove(record)
             changes += Change.Delete(recordKey(record))
         }
@@ -195,7 +222,7 @@
         const val FINALS_PREFIX = "f/"
 
         /** Of a value's limit: room for the encoding's own overhead, as limits are counted in JSON form. */
-        private const val RECORD_FILL = 0.6
+        private const val RECORD_FILL = 0.8
         private const val FINALS_FILL = 0.5
 
         /** The page's limit for a transaction, and how much of it a trim may take. */
--- a/src/main/kotlin/cleathitch/core/Ledger.kt
+++ b/src/main/kotlin/cleathitch/core/Ledger.kt
@@ -45,9 +45,6 @@
     var failures = 0
     var notBeforeMs = 0L
 
-    /** Until then room that was made for the job is on its way, and no more is made. */
-    var roomComingMs = 0L
-
     private var fresh = 0
     private val again = TreeSet<Int>()
 
@@ -138,7 +135,10 @@
             }
             is Event.AttemptOver -> open[event.job]?.live?.get(event.index)
                 ?.takeIf { it.id.number == event.number }?.let(::removeAttempt)
-            is Event.TaskDone -> open[event.job]?.taskDone(event.index, seq)
+            is Event.TaskDone -> open[event.job]?.let { job ->
+                job.taskDone(event.index, seq)
+                job.live[event.index]?.takeIf { it.id.number == event.number }?.let(::removeAttempt)
+            }
         }
     }
 
--- a/src/main/kotlin/cleathitch/core/Placement.kt
+++ b/src/main/kotlin/cleathitch/core/Placement.kt
@@ -1,62 +1,173 @@
 package cleathitch.core
 
-import kotlin.random.Random
-
-/** Where the next task of a job goes. */
-class Placement(
-    private val fleet: Fleet,
-    private val ledger: Ledger,
-    private val sample: Int,
-    private val random: Random,
-) {
+import java.util.PriorityQueue
+
+/** Where tasks go and whose tasks make room for them. What it sees is fixed at the start of a round. */
+class Placement(private val fleet: Fleet, private val ledger: Ledger) {
+    /** What is free of a machine in this round. */
+    private class Room(val machine: Machine, type: MachineType, load: Load?, attempts: Collection<Attempt>) {
+        var cpus = type.cpus - (load?.cpus ?: 0.0)
+        var gpus = type.gpus - (load?.gpus ?: 0.0)
+        var memoryGb = type.memoryGb - (load?.memoryGb ?: 0.0)
+        val wholeCpus = type.cpus
+
+        /** A machine that a service keeps is paid for anyway: what is free of it costs nothing. */
+        val kept = attempts.any { it.job.spec.kind == JobKind.SERVICE }
+
+        /** Images on their way here, which share the machine's rate. */
+        val coming: Set<String> = if (attempts.isEmpty()) {
+            emptySet()
+        } else {
+            attempts.mapNotNullTo(HashSet()) { a -> a.job.spec.image.takeIf { a.runningSinceMs == null && !machine.hasImage(it) } }
+        }
+
+        fun fits(shape: PlacementClass) = Fleet.slots(shape, cpus, gpus, memoryGb) > 0
+
+        fun take(shape: PlacementClass) {
+            cpus -= shape.cpus
+            gpus -= shape.gpus
+            memoryGb -= shape.memoryGb
+        }
+    }
+
+    /** A zone's machines with room for a class, cheapest first; what was passed over has no more room. */
+    private class Ranked(val rooms: List<Room>, val costs: DoubleArray) {
+        var next = 0
+
+        fun skipFull(shape: PlacementClass) {
+            while (next < rooms.size && !rooms[next].fits(shape)) next++
+        }
+    }
+
     /**
-     * Best fit among a few machines that have room; all machines are looked at when none of them fits.
-     * A fleet no larger than the sample is looked at whole and in order, so that work gathers on its
-     * first machines and the last ones fall idle and can go back.
+     * One round's look at the machines. Like tasks are decided as a class: the machines are ranked once
+     * for a class, not for each task, and a class that fits nowhere costs that one look. So the ranking
+     * can afford to see all machines, where the design samples three for each task.
      */
-    fun choose(job: Job, usable: List<Machine>): Machine? {
-        val shape = job.spec.placementClass
-        val zones = zonesFor(job)
-        fun fits(machine: Machine) =
-            (zones == null || machine.offer.zone in zones) && fleet.allows(shape, machine.offer) && fleet.roomFor(shape, machine) > 0
-
-        if (usable.size <= sample) return usable.filter(::fits).minByOrNull { cost(shape, it) }
-        var best: Machine? = null
-        var bestCost = Double.MAX_VALUE
-        repeat(minOf(sample, usable.size)) {
-            val machine = usable[random.nextInt(usable.size)]
-            if (fits(machine)) {
-                val cost = cost(shape, machine)
-                if (cost < bestCost) {
-                    best = machine
-                    bestCost = cost
-                }
+    inner class Look(private val usable: List<Machine>, private val nowMs: Long) {
+        private val rooms = usable.mapNotNull { machine ->
+            machine.type?.let { Room(machine, it, ledger.loadOf(machine.id), ledger.attemptsOn(machine.id)) }
+        }.filter { it.cpus > ROUNDING }
+        private val ranked = HashMap<PlacementClass, Map<String, Ranked>>()
+        private val sacrifices = HashMap<PlacementClass, Sacrifices>()
+
+        /** How many tasks were weighed against machines; the growth of a round's cost is tested by it. */
+        var looks = 0L
+            private set
+
+        fun choose(job: Job): Machine? {
+            val shape = job.spec.placementClass
+            val zones = zonesFor(job)
+            var best: Ranked? = null
+            for ((zone, list) in ranked.getOrPut(shape) { rank(shape) }) {
+                if (zones != null && zone !in zones) continue
+                list.skipFull(shape)
+                if (list.next == list.rooms.size) continue
+                if (best == null || list.costs[list.next] < best.costs[best.next]) best = list
             }
+            val room = best?.let { it.rooms[it.next] } ?: return null
+            room.take(shape)
+            return room.machine
         }
-        // A sampled fit without the image would make the task wait for a fetch that another spares it.
-        if (best?.hasImage(shape.image) == true) return best
-        return usable.filter(::fits).minByOrNull { cost(shape, it) }
-    }
 
-    /** A machine for each waiting task of a gang, or null unless all find one at once. */
-    fun chooseAll(job: Job, usable: List<Machine>): List<Machine>? {
-        val shape = job.spec.placementClass
-        val zones = zonesFor(job)
-        val allowed = usable.filter { (zones == null || it.offer.zone in zones) && fleet.allows(shape, it.offer) }
-            .sortedBy { cost(shape, it) }
-        val choices = if (job.spec.oneZone) allowed.groupBy { it.offer.zone }.values else listOf(allowed)
-        return choices.firstNotNullOfOrNull { machines ->
-            val chosen = ArrayList<Machine>()
-            val inZone = HashMap<String, Int>()
-            for (machine in machines) {
-                repeat(fleet.roomFor(shape, machine)) {
-                    if (chosen.size < job.waiting && (inZone[machine.offer.zone] ?: 0) < job.spec.maxPerZone) {
-                        inZone.merge(machine.offer.zone, 1, Int::plus)
-                        chosen += machine
+        private fun rank(shape: PlacementClass): Map<String, Ranked> {
+            looks += rooms.size
+            val fitting = rooms.filter { fleet.allows(shape, it.machine.offer) && it.fits(shape) }
+            return fitting.groupBy { it.machine.offer.zone }.mapValues { (_, list) ->
+                val costs = list.map { it to cost(shape, it) }.sortedBy { it.second }
+                Ranked(costs.map { it.first }, DoubleArray(costs.size) { costs[it].second })
+            }
+        }
+
+        /** A machine for each waiting task of a gang, or null unless all find one at once. */
+        fun chooseAll(job: Job): List<Machine>? {
+            val shape = job.spec.placementClass
+            val zones = zonesFor(job)
+            val allowed = rooms.filter { (zones == null || it.machine.offer.zone in zones) && fleet.allows(shape, it.machine.offer) }
+                .sortedBy { cost(shape, it) }
+            val choices = if (job.spec.oneZone) allowed.groupBy { it.machine.offer.zone }.values else listOf(allowed)
+            val chosen = choices.firstNotNullOfOrNull { candidates ->
+                val chosen = ArrayList<Room>()
+                val inZone = HashMap<String, Int>()
+                for (room in candidates) {
+                    repeat(Fleet.slots(shape, room.cpus, room.gpus, room.memoryGb)) {
+                        val zone = room.machine.offer.zone
+                        if (chosen.size < job.waiting && (inZone[zone] ?: 0) < job.spec.maxPerZone) {
+                            inZone.merge(zone, 1, Int::plus)
+                            chosen += room
+                        }
                     }
                 }
+                chosen.takeIf { it.size == job.waiting }
+            } ?: return null
+            chosen.forEach { it.take(shape) }
+            return chosen.map { it.machine }
+        }
+
+        /**
+         * The tasks to stop so that up to [count] of [job] find room: where least is lost, and never one
+         * that the page protects. Room that stopped tasks are about to leave is reckoned with first.
+         */
+        fun victims(job: Job, count: Int): List<Attempt> {
+            val found = sacrifices.getOrPut(job.spec.placementClass) { Sacrifices(job.spec) }
+            val zones = zonesFor(job)
+            val chosen = ArrayList<Attempt>()
+            var left = count
+            while (left > 0) left -= found.take(zones, left, chosen) ?: break
+            return chosen
+        }
+
+        /** What could be stopped for a class, machine by machine, the least loss first. */
+        private inner class Sacrifices(private val spec: JobSpec) {
+            private inner class Choice(val machine: Machine, val gone: List<Attempt>, val more: List<Attempt>, val slots: Int, val loss: Double)
+
+            private val shape = spec.placementClass
+            private val choices = PriorityQueue<Choice>(compareBy { it.loss })
+
+            init {
+                looks += usable.size
+                for (machine in usable) {
+                    if (!fleet.allows(shape, machine.offer)) continue
+                    next(machine, ledger.attemptsOn(machine.id).filter { it.stop != null })
+                }
+            }
+
+            /** Adds what the machine could give next, after what is [gone] from it already. */
+            private fun next(machine: Machine, gone: List<Attempt>) {
+                val before = fleet.roomFor(shape, machine, gone)
+                val left = ledger.attemptsOn(machine.id).filter { it.stop == null && it !in gone && it.job.spec.priority > spec.priority }
+                if (before > 0) {
+                    choices += Choice(machine, gone, emptyList(), before, 0.0)
+                    return
+                }
+                val more = ArrayList<Attempt>()
+                for (attempt in left.sortedBy { loss(it, nowMs) }) {
+                    more += attempt
+                    val slots = fleet.roomFor(shape, machine, gone + more)
+                    if (slots == 0) continue
+                    val fetch = if (machine.hasImage(shape.image)) 0.0 else spec.imageGb / (machine.type?.fetchGbPerS ?: 1.0)
+                    choices += Choice(machine, gone + more, more, slots, (fetch * shape.cpus + more.sumOf { loss(it, nowMs) }) / slots)
+                    return
+                }
+            }
+
+            /** Takes the best choice in [zones]; tells how many tasks it makes room for, null when there is none. */
+            fun take(zones: Set<String>?, most: Int, into: MutableList<Attempt>): Int? {
+                val aside = ArrayList<Choice>()
+                var choice = choices.poll()
+                while (choice != null && zones != null && choice.machine.offer.zone !in zones) {
+                    aside += choice
+                    choice = choices.poll()
+                }
+                choices += aside
+                if (choice == null) return null
+                into += choice.more
+                val used = minOf(most, choice.slots)
+                if (used < choice.slots) {
+                    choices += Choice(choice.machine, choice.gone, emptyList(), choice.slots - used, 0.0)
+                }
+                return used
             }
-            chosen.takeIf { it.size == job.waiting }
         }
     }
 
@@ -72,53 +183,26 @@
             val zone = fleet.machines[attempt.machine]?.offer?.zone ?: return emptySet()
             byZone.merge(zone, 1, Int::plus)
         }
-        val all = fleet.types.values.flatMapTo(HashSet()) { it.zones }
         if (spec.oneZone && byZone.isNotEmpty()) return byZone.keys
-        if (spec.spread) all.removeAll { (byZone[it] ?: 0) >= spec.maxPerZone }
-        return all
-    }
-
-    /** Smaller is better: the image there, the kind of machine meant for the work, then the tightest fit. */
-    private fun cost(shape: PlacementClass, machine: Machine): Double {
-        val type = machine.type ?: return Double.MAX_VALUE
-        val load = ledger.loadOf(machine.id)
-        val leftover = (type.cpus - (load?.cpus ?: 0.0) - shape.cpus) / type.cpus
-        val fetch = if (machine.hasImage(shape.image)) 0.0 else 2.0
-        // A machine that a service keeps is paid for anyway: what is free of it costs nothing.
-        val kept = ledger.attemptsOn(machine.id).any { it.job.spec.kind == JobKind.SERVICE }
-        val kind = if (shape.spotAllowed && !machine.offer.spot && !kept) 4.0 else 0.0
-        val spare = if (shape.kind != JobKind.SERVICE && kept) -1.0 else 0.0
-        return fetch + kind + spare + leftover + machine.faults
+        if (!spec.spread) return fleet.zones
+        return fleet.zones.filterTo(HashSet()) { (byZone[it] ?: 0) < spec.maxPerZone }
     }
 
     /**
-     * The tasks to stop so that one of [job] finds room: on the machine where least is lost, and never
-     * one that the page protects. Null if stopping them all would not help.
+     * Smaller is better: the image there or on its way, the kind of machine meant for the work, then the
+     * tightest fit. Images that are fetched together share the machine's rate, so each one on its way
+     * makes another dearer.
      */
-    fun victims(job: Job, usable: List<Machine>, mayStop: (Attempt) -> Boolean, nowMs: Long): List<Attempt>? {
-        val shape = job.spec.placementClass
-        val zones = zonesFor(job)
-        var best: List<Attempt>? = null
-        var bestLoss = Double.MAX_VALUE
-        for (machine in usable) {
-            if ((zones != null && machine.offer.zone !in zones) || !fleet.allows(shape, machine.offer)) continue
-            val attempts = ledger.attemptsOn(machine.id)
-            val leaving = attempts.filter { it.stop != null }
-            if (fleet.roomFor(shape, machine, leaving) > 0) continue // room is on its way
-            val chosen = ArrayList<Attempt>()
-            for (attempt in attempts.filter { it.stop == null && mayStop(it) }.sortedBy { loss(it, nowMs) }) {
-                chosen += attempt
-                if (fleet.roomFor(shape, machine, leaving + chosen) > 0) break
-            }
-            if (fleet.roomFor(shape, machine, leaving + chosen) == 0) continue
-            val fetch = if (machine.hasImage(shape.image)) 0.0 else job.spec.imageGb / (machine.type?.fetchGbPerS ?: 1.0)
-            val loss = fetch * shape.cpus + chosen.sumOf { loss(it, nowMs) }
-            if (loss < bestLoss) {
-                best = chosen
-                bestLoss = loss
-            }
+    private fun cost(shape: PlacementClass, room: Room): Double {
+        val machine = room.machine
+        val fetch = when {
+            machine.hasImage(shape.image) -> 0.0
+            shape.image in room.coming -> FETCH / 2
+            else -> FETCH * (1 + room.coming.size)
         }
-        return best
+        val kind = if (shape.spotAllowed && !machine.offer.spot && !room.kept) OTHER_KIND else 0.0
+        val spare = if (shape.kind != JobKind.SERVICE && room.kept) -1.0 else 0.0
+        return fetch + kind + spare + (room.cpus - shape.cpus) / room.wholeCpus + machine.faults
     }
 
     /** The processor time that is lost when the attempt is stopped, about. */
@@ -127,4 +211,12 @@
         val ranS = attempt.runningSinceMs?.let { (nowMs - it) / 1000.0 } ?: 0.0
         return spec.cpus * if (spec.checkpointS > 0) minOf(ranS, spec.saveS) else ranS
     }
+
+    private companion object {
+        const val ROUNDING = 1e-6
+
+        /** Weights in terms of the tightest fit, which is between 0 and 1. */
+        const val FETCH = 2.0
+        const val OTHER_KIND = 4.0
+    }
 }
--- a/src/main/kotlin/cleathitch/core/Tuning.kt
+++ b/src/main/kotlin/cleathitch/core/Tuning.kt
@@ -7,10 +7,19 @@
 data class Tuning(
     val roundMs: Long,
     val trimMs: Long,
-    val sample: Int,
     val graceMs: Long,
     val leaseMarginMs: Long,
+    /** For how long a leader's key outlives its last renewal. */
+    val leaderLeaseMs: Long,
+
+    /** After how long without a report a machine is asked directly, how often, and when it is given up. */
+    val probeMs: Long,
+    val probeGapMs: Long,
     val silentMs: Long,
+
+    /** By then a machine whose reports reach nobody has lost its lease. */
+    val lostMs: Long,
+    val returnGapMs: Long,
     val takeOverMs: Long,
     val stallMs: Long,
     val intakeMs: Long,
@@ -19,15 +28,11 @@
         /** The design's own values. */
         private const val ROUND_MS = 2000.0
         private const val TRIM_MS = 10_000L
-        private const val SAMPLE = 3
-
-        /** A round may look at as many machines per class; a look costs about a microsecond. */
-        private const val LOOKS = 100
 
         /** The page's bound on how far steady clocks drift apart, doubled for two clocks. */
         const val DRIFT = 0.001
 
-        fun of(deployment: Deployment, trimS: Double? = null, looks: Int? = null): Tuning {
+        fun of(deployment: Deployment, trimS: Double? = null): Tuning {
             val wait = deployment.objectives.mapNotNull {
                 when (it) {
                     is Objective.Wait -> it.withinS
@@ -45,10 +50,14 @@
             return Tuning(
                 roundMs = max(byObjective, byBudget).toLong(),
                 trimMs = trimS?.let { (it * 1000).toLong() } ?: TRIM_MS,
-                sample = maxOf(SAMPLE, looks ?: LOOKS),
-                graceMs = (spareMs * 0.5).toLong().coerceAtLeast(0),
+                graceMs = (spareMs * 0.25).toLong().coerceAtLeast(0),
                 leaseMarginMs = (deployment.leaseS * 1000 * DRIFT + reportMs / 4).toLong(),
-                silentMs = (reportMs * 3).toLong(),
+                leaderLeaseMs = (deployment.leaseS * 1000 / 12).toLong(),
+                probeMs = (reportMs * 1.35).toLong(),
+                probeGapMs = (reportMs / 4).toLong(),
+                silentMs = (reportMs * 2).toLong(),
+                lostMs = (deployment.leaseS * 1000 + reportMs).toLong(),
+                returnGapMs = (2000 / deployment.cloudRps).toLong(),
                 takeOverMs = (reportMs * 1.25).toLong(),
                 stallMs = (reportMs / 4).toLong(),
                 intakeMs = (reportMs / 2).toLong(),
--- a/src/main/kotlin/cleathitch/state/Stored.kt
+++ b/src/main/kotlin/cleathitch/state/Stored.kt
@@ -36,17 +36,23 @@
 
     /** What an event or a spec takes in Base64 beside its texts; measured generously. */
     private const val SPEC_BYTES = 700
-    private const val EVENT_BYTES = 140
-    private const val LIVE_BYTES = 90
-
-    override val ofStart = EVENT_BYTES
+    private const val EVENT_BYTES = 32
+    private const val LIVE_BYTES = 16
 
     override fun of(event: Event): Int = when (event) {
-        is Event.JobAccepted -> of(event.spec) + EVENT_BYTES
-        else -> EVENT_BYTES
+        is Event.JobAccepted -> of(event.spec)
+        is Event.AttemptStarted -> EVENT_BYTES + text(event.job.text) + text(event.machine.text)
+        is Event.OfJob -> EVENT_BYTES + text(event.job.text)
+        is Event.RentalAsked -> EVENT_BYTES * 4 + text(event.request) + text(event.offer.type) + text(event.offer.zone)
+        is Event.RentalSettled -> EVENT_BYTES * 2 + text(event.request)
+        is Event.MachineRetired -> EVENT_BYTES * 2 + text(event.machine.text)
+        is Event.MachineGone -> EVENT_BYTES * 2 + text(event.machine.text)
     }
 
-    override fun of(cell: JobCell): Int = of(cell.spec) + cell.done.size * 4 / 3 + cell.live.size * LIVE_BYTES + EVENT_BYTES
+    override fun of(cell: JobCell): Int =
+        of(cell.spec) + cell.done.size * 4 / 3 + cell.live.sumOf { LIVE_BYTES + text(it.machine.text) } + EVENT_BYTES
+
+    private fun text(text: String) = text.length * 4 / 3 + 2
 
     private fun of(spec: JobSpec): Int {
         val texts = spec.className.length + spec.team.length + spec.image.length + (spec.zone?.length ?: 0) +
--- a/src/main/kotlin/cleathitch/workers/WorkerClient.kt
+++ b/src/main/kotlin/cleathitch/workers/WorkerClient.kt
@@ -1,8 +1,10 @@
 package cleathitch.workers
 
 import cleathitch.core.Effect
+import cleathitch.core.MachineId
 import cleathitch.core.Report
 import cleathitch.http.Address
+import cleathitch.http.Answer
 import cleathitch.http.Caller
 import cleathitch.protocol.Malformed
 import cleathitch.protocol.WorkerWire
@@ -10,22 +12,33 @@
 import io.vertx.core.http.HttpMethod
 import org.slf4j.LoggerFactory
 
-/** Sends orders directly where waiting for the next report would cost. */
-class WorkerClient(vertx: Vertx, private val timeoutMs: Long) {
-    private val caller = Caller(vertx, connections = 2)
+/**
+ * Sends orders directly where waiting for the next report would cost, and asks machines that skip reports.
+ * Its connections are kept for a moment only: with one to each machine of a large fleet beside the one
+ * each machine reports on, a node would run out of sockets.
+ */
+class WorkerClient(vertx: Vertx, private val timeoutMs: Long, private val probeMs: Long) {
+    private val caller = Caller(vertx, connections = 2, keepAliveS = 2)
 
     /** The machine's report after the orders, whether it carried them out or not; null if none came. */
     suspend fun push(push: Effect.Push): Report? {
         val address = Address.parse(push.addr) ?: return null
         val body = WorkerWire.direct(push.version, push.session, push.orders)
         val answer = caller.call(address, HttpMethod.POST, "/do", body, timeoutMs) ?: return null
-        if (answer.status != 200 && answer.status != 409) return null
-        return try {
-            WorkerWire.report(answer.body)
-        } catch (e: Malformed) {
-            log.error("a garbled report from machine {}: {}", push.machine, e.message)
-            null
-        }
+        return if (answer.status == 200 || answer.status == 409) report(push.machine, answer) else null
+    }
+
+    suspend fun inspect(machine: MachineId, addr: String): Report? {
+        val address = Address.parse(addr) ?: return null
+        val answer = caller.call(address, HttpMethod.GET, "/inspect", null, probeMs) ?: return null
+        return if (answer.status == 200) report(machine, answer) else null
+    }
+
+    private fun report(machine: MachineId, answer: Answer): Report? = try {
+        WorkerWire.report(answer.body)
+    } catch (e: Malformed) {
+        log.error("a garbled report from machine {}: {}", machine, e.message)
+        null
     }
 
     private companion object {
--- a/src/test/kotlin/cleathitch/core/EngineTest.kt
+++ b/src/test/kotlin/cleathitch/core/EngineTest.kt
@@ -1,7 +1,6 @@
 package cleathitch.core
 
 import cleathitch.state.StoredCodec
-import kotlin.random.Random
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -10,7 +9,7 @@
 class EngineTest {
     private val type = MachineType("m4", 4.0, 0.0, 16.0, 50.0, 1.0, 1.0, 0.4, 5.0, listOf("a", "b"))
     private val engine = Engine(
-        World.standard, Tuning.of(World.standard), Term(7), Snapshot.EMPTY, Moment(0, 0), StoredCodec, Random(1),
+        World.standard, Tuning.of(World.standard), Term(7), Snapshot.EMPTY, Moment(0, 0), StoredCodec,
     )
     private var nowMs = 0L
     private var revision = 7L
@@ -32,7 +31,7 @@
         step(Command.Reported(RequestId(1), report(1)))
         step(Command.TypesListed(listOf(type)))
         nowMs = 4000
-        step(Command.Reported(RequestId(2), report(2)))
+        step(Command.Reported(RequestId(2), report(2, OrderVersion.first(7).packed)))
         nowMs += 300
         val written = step(Command.Submit(RequestId(3), World.job(1, tasks = 1)))
         val pushed = commit(written).filterIsInstance<Effect.Push>()
--- a/src/test/kotlin/cleathitch/core/RulesTest.kt
+++ b/src/test/kotlin/cleathitch/core/RulesTest.kt
@@ -13,7 +13,10 @@
         "killed leaders" to Weather(lost = 0.02, held = 0.02, twice = 0.02, killS = 12.0),
         "leaders cut from the state service" to Weather(held = 0.03, cutS = 20.0),
         "dying and hanging machines" to Weather(held = 0.02, dieS = 15.0, hangS = 10.0),
-        "everything at once" to Weather(0.05, 0.05, 0.05, killS = 25.0, cutS = 30.0, dieS = 20.0, hangS = 15.0),
+        "late copies of reports" to Weather(held = 0.02, copied = 0.3, killS = 20.0),
+        "machines that hear nothing" to Weather(copied = 0.05, deafS = 20.0),
+        "processes and machines back at once" to Weather(held = 0.02, copied = 0.1, killS = 10.0, bounceS = 6.0, quick = true),
+        "everything at once" to Weather(0.05, 0.05, 0.05, killS = 25.0, cutS = 30.0, dieS = 20.0, hangS = 15.0, copied = 0.05, deafS = 40.0, bounceS = 30.0),
     )
 
     @TestFactory
--- a/src/test/kotlin/cleathitch/core/World.kt
+++ b/src/test/kotlin/cleathitch/core/World.kt
@@ -17,6 +17,13 @@
     val cutS: Double = 0.0,
     val dieS: Double = 0.0,
     val hangS: Double = 0.0,
+    /** Share of reports of which a copy comes late, up to twice a worker's lease. */
+    val copied: Double = 0.0,
+    /** Mean time between machines that lose what is sent to them, and between machines that start anew at once. */
+    val deafS: Double = 0.0,
+    val bounceS: Double = 0.0,
+    /** Killed nodes are back within a fraction of a second, and may be killed again in the election. */
+    val quick: Boolean = false,
 )
 
 /**
@@ -30,6 +37,7 @@
     var nowMs = 0L
         private set
     var calm = false
+    private var calmSinceMs = 0L
     private var steps = 0L
     private val queue = PriorityQueue<Step>(compareBy<Step>({ it.atMs }, { it.order }))
     val broken = ArrayList<String>()
@@ -132,7 +140,8 @@
         fun kill() {
             engine = null
             life++
-            after(random.nextLong(200, 4000)) { live() }
+            after(if (weather.quick) random.nextLong(10, 400) else random.nextLong(200, 4000)) { live() }
+            if (weather.quick && random.nextBoolean()) after(random.nextLong(TTL_MS)) { leader?.let { if (!calm) it.kill() } }
         }
 
         private fun elect() {
@@ -145,7 +154,7 @@
             heldUntil = steadyMs() + TTL_MS * 999 / 1000
             lastRenewal = nowMs
             inFlight = null
-            engine = Engine(deployment, tuning, Term(term), snapshot(), moment(), StoredCodec, Random(term))
+            engine = Engine(deployment, tuning, Term(term), snapshot(), moment(), StoredCodec)
             trace += "${nowMs / 1000.0} $name leads in term $term"
             take(Command.LeaseHeld(heldUntil))
             take(Command.TypesListed(listOf(type)))
@@ -218,6 +227,9 @@
                 is Effect.Push -> send {
                     machines[effect.machine]?.direct(effect)?.let { report -> send { take(Command.Inspected(report)) } }
                 }
+                is Effect.Inspect -> send {
+                    machines[effect.machine]?.inspected()?.let { report -> send { take(Command.Inspected(report)) } }
+                }
                 is Effect.Rent -> send {
                     val names = rent(effect.asked)
                     send { take(Command.RentalAnswered(effect.asked.request, RentalAnswer.Rented(names))) }
@@ -252,6 +264,9 @@
         private var leaseFromMs = nowMs
         private var node = random.nextInt(nodes.size)
         private var hangsUntilMs = 0L
+
+        /** Its reports arrive; answers and orders don't reach it. */
+        var deaf = false
         val zone get() = offer.zone
         val spot get() = offer.spot
 
@@ -271,6 +286,16 @@
             hangsUntilMs = nowMs + random.nextLong(40_000)
         }
 
+        /** Starts anew within a fraction of a second: everything on it is gone, its highest version too. */
+        fun bounce() {
+            tasks.clear()
+            session++
+            seq = 0
+            token = 0
+            leaseFromMs = nowMs
+            sendReport()
+        }
+
         private fun advance() {
             if (nowMs - leaseFromMs > deployment.leaseS * 1000) {
                 tasks.clear()
@@ -302,11 +327,17 @@
             val request = RequestId(++requests)
             val target = nodes[node]
             var answered = false
+            if (!calm && random.nextDouble() < weather.copied) {
+                // Whoever leads by then may get it, and nobody waits for the answer.
+                after(random.nextLong(1000, (deployment.leaseS * 2000).toLong())) {
+                    leader?.take(Command.Reported(RequestId(++requests), report))
+                }
+            }
             send {
                 if (target.engine == null) return@send
                 reportAnswers[request] = { answer ->
                     send {
-                        if (machines[id] === this && report.session == session && nowMs - sentMs < 4000 && !answered && nowMs >= hangsUntilMs) {
+                        if (!deaf && machines[id] === this && report.session == session && nowMs - sentMs < 4000 && !answered && nowMs >= hangsUntilMs) {
                             answered = true
                             if (answer.version.packed >= token) {
                                 advance()
@@ -323,6 +354,7 @@
         }
 
         fun direct(push: Effect.Push): Report? {
+            if (deaf) return null
             if (nowMs < hangsUntilMs) {
                 // A hanging machine takes up what waited for it when it goes on.
                 after(hangsUntilMs - nowMs + 1) { machines[id]?.direct(push) }
@@ -336,6 +368,12 @@
             return report()
         }
 
+        fun inspected(): Report? {
+            if (deaf || nowMs < hangsUntilMs) return null
+            advance()
+            return report()
+        }
+
         private fun execute(orders: List<Order>) {
             for (order in orders) when (order) {
                 is Order.Start -> if (order.attempt !in tasks) {
@@ -379,6 +417,7 @@
         var cancelledToldMs: Long? = null
         var doneTold = false
         var abortAsked = false
+        var lastAnswerMs = 0L
     }
 
     val submitted = LinkedHashMap<JobId, Known>()
@@ -421,6 +460,7 @@
     }
 
     private fun hear(known: Known, reply: UserReply, accepted: Boolean, cancelled: Boolean, done: Boolean) {
+        if (reply !is UserReply.NotNow) known.lastAnswerMs = nowMs
         val state = when (reply) {
             is UserReply.Accepted -> reply.state.also { known.accepted = true }
             is UserReply.Status -> reply.state
@@ -477,6 +517,10 @@
             if (spec.oneZone && byZone.size > 1) broken += "wrong_place: $job in ${byZone.keys}"
             if (byZone.values.any { it > spec.maxPerZone }) broken += "wrong_place: $job spread as $byZone"
         }
+        if (calm) {
+            submitted.values.firstOrNull { it.accepted && nowMs - maxOf(it.lastAnswerMs, calmSinceMs) > FORGOTTEN_MS }
+                ?.let { broken += "forgotten: nothing is said of ${it.spec.id}" }
+        }
         if (broken.isNotEmpty()) trace += "${nowMs / 1000.0} BROKEN $broken"
     }
 
@@ -500,17 +544,23 @@
             }
         }
         now(weather.dieS) { machines.keys.randomOrNull(random)?.let(machines::remove) }
+        now(weather.deafS) { machines.values.randomOrNull(random)?.let { it.deaf = true } }
+        now(weather.bounceS) { machines.values.randomOrNull(random)?.bounce() }
         now(weather.hangS) { machines.values.randomOrNull(random)?.hang() }
     }
 
     /** The weather turns calm: from here on everything must come to its end. */
     fun calmDown() {
         calm = true
+        calmSinceMs = nowMs
         nodes.forEach { it.cutFromState = false }
     }
 
     companion object {
         private const val TTL_MS = 3000L
+
+        /** An accepted job without any answer for so long is forgotten. */
+        private const val FORGOTTEN_MS = 75_000L
         private const val MOST_MACHINES = 24
 
         val standard = Deployment(
