Rentals by what a machine serves in time, by zone, and arrays on spot unless late

Ruled out: capacity (one refusal), the cloud's budget (594 calls, none refused). Change: the boot time weighs against the time a machine is kept; turns are reckoned; several calls for one offer; a spread job's demand is split by zone; renting starts with the first list instead of a report period.

--- a/src/main/kotlin/cleathitch/core/Engine.kt
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -59,6 +59,7 @@
     private var lastFleetMs = 0L
     private var lastTrimMs = start.steadyMs
     private var rentCount = 0L
+    private var fleetListed = false
     private var demands: List<Fleet.Demand> = emptyList()
     private var stepped = false
 
@@ -108,7 +109,7 @@
                 sendFleetOrders()
             }
             if (mayPlace()) round()
-            if (settled()) resizeFleet()
+            resizeFleet()
             expireGates()
             write()
         }
@@ -135,7 +136,10 @@
             is Command.LeaseHeld -> heldUntilMs = maxOf(heldUntilMs, command.untilMs)
             is Command.Committed -> committed(command)
             is Command.TypesListed -> typesListed(command.types)
-            is Command.MachinesListed -> command.machines.forEach(::listed)
+            is Command.MachinesListed -> {
+                command.machines.forEach(::listed)
+                fleetListed = true
+            }
             is Command.RentalAnswered -> rentalAnswered(command)
             is Command.Returned -> command.machines.forEach { confirmGone(it) }
             Command.Tick -> Unit
@@ -613,7 +617,6 @@
 
     /** Rentals and returns whose answer is lost are sent again under the same names. */
     private fun sendFleetOrders() {
-        if (now.steadyMs - startedMs < tuning.takeOverMs) return
         val againMs = (deployment.reportS * 1000).toLong()
         for (asked in fleet.rentals.values) {
             val sent = rentSentAtMs[asked.request]
@@ -734,7 +737,8 @@
     }
 
     private fun resizeFleet() {
-        if (now.steadyMs - lastFleetMs < FLEET_ROUND_MS) return
+        // The cloud's list tells as well as reports what there is: what hasn't reported counts as on its way.
+        if (!settled() && !(mayPlace() && fleetListed) || now.steadyMs - lastFleetMs < FLEET_ROUND_MS) return
         lastFleetMs = now.steadyMs
         val room = (deployment.cloudRps / 2).toInt().coerceAtLeast(1) - fleet.rentals.size
         if (room > 0) {
@@ -744,7 +748,7 @@
                 note(NoteLevel.INFO) { "rental ${asked.request}: asking for $count $offer" }
             }
         }
-        fleet.idle(now.steadyMs).forEach { retire(it.id, "it is idle") }
+        if (settled()) fleet.idle(now.steadyMs).forEach { retire(it.id, "it is idle") }
     }
 
     private fun stepDown(reason: String) {
--- a/src/main/kotlin/cleathitch/core/Fleet.kt
+++ b/src/main/kotlin/cleathitch/core/Fleet.kt
@@ -89,8 +89,14 @@
     val retired = LinkedHashSet<MachineId>()
     private val refusedUntilMs = HashMap<Offer, Long>()
 
-    /** The class of tasks that want machines, and how many of them. */
-    data class Demand(val shape: PlacementClass, val count: Int)
+    /**
+     * The class of tasks that want machines, how many of them, and how many of these may not wait for a
+     * spot machine. Within [slackS] as many may run one after the other as it holds [runS].
+     */
+    data class Demand(val shape: PlacementClass, val count: Int, val ordinary: Int, val slackS: Double = 0.0, val runS: Double = 0.0) {
+        fun turns(type: MachineType): Int =
+            if (runS <= 0) 1 else ((slackS - type.bootS) / runS).toInt().coerceAtLeast(1)
+    }
 
     fun apply(event: Event.OfFleet) {
         when (event) {
@@ -134,35 +140,70 @@
         )
     }
 
-    /** What to rent for the tasks that fit nowhere, after those machines that are on their way. */
+    /**
+     * What to rent for the tasks that fit nowhere, after those machines that are on their way; each pair
+     * is one call, [maxCalls] at most.
+     */
     fun wanted(demands: List<Demand>, nowMs: Long, maxCalls: Int): List<Pair<Offer, Int>> {
-        val booting = machines.values.filter { it.state == MachineState.STARTING }
-            .mapNotNull { m -> m.type?.let { Space(m.offer, it) } }.toMutableList()
+        val spaces = machines.values.filter { it.state == MachineState.STARTING }
+            .mapNotNullTo(ArrayList()) { m -> m.type?.let { Space(m.offer, it) } }
         rentals.values.forEach { asked ->
-            types[asked.offer.type]?.let { type -> repeat(asked.count) { booting += Space(asked.offer, type) } }
+            types[asked.offer.type]?.let { type -> repeat(asked.count) { spaces += Space(asked.offer, type) } }
         }
-        val result = LinkedHashMap<Offer, Int>()
-        for (demand in demands) {
+        val plan = Plan(maxCalls)
+        for (demand in demands.flatMap(::byZone)) {
             var left = demand.count
-            for (space in booting) {
+            for (space in spaces) {
                 if (left == 0) break
-                if (allows(demand.shape, space.offer)) left -= space.take(demand.shape, left)
+                if (allows(demand.shape, space.offer)) left -= space.take(demand, left)
             }
-            while (left > 0 && result.size < maxCalls) {
-                val offer = best(demand.shape, left, nowMs, result) ?: break
+            var ordinary = demand.ordinary
+            while (left > 0) {
+                val offer = best(demand, left, nowMs, plan, ordinary > 0) ?: break
                 val type = types.getValue(offer.type)
-                val perMachine = slots(demand.shape, type.cpus, type.gpus, type.memoryGb)
-                val count = min(MOST_PER_CALL - (result[offer] ?: 0), max(1, left / perMachine))
-                if (count <= 0) break
-                result.merge(offer, count, Int::plus)
+                val each = slots(demand.shape, type.cpus, type.gpus, type.memoryGb) * demand.turns(type)
+                val most = if (offer.spot) left else min(left, ordinary)
+                val count = min(plan.room(offer), max(1, most / each))
+                plan.add(offer, count)
                 repeat(count) {
                     val space = Space(offer, type)
-                    left -= space.take(demand.shape, left)
-                    booting += space
+                    val taken = space.take(demand, left)
+                    left -= taken
+                    if (!offer.spot) ordinary -= taken
+                    spaces += space
                 }
             }
         }
-        return result.toList()
+        return plan.calls()
+    }
+
+    /** A spread job's tasks need room in more than one zone. */
+    private fun byZone(demand: Demand): List<Demand> {
+        if (!demand.shape.spread || demand.shape.zone != null || zones.size < 2) return listOf(demand)
+        return zones.mapIndexed { i, zone ->
+            fun part(count: Int) = count / zones.size + if (i < count % zones.size) 1 else 0
+            demand.copy(shape = demand.shape.copy(zone = zone), count = part(demand.count), ordinary = part(demand.ordinary))
+        }
+    }
+
+    /** Rentals put together, as many machines to a call as the page allows. */
+    private class Plan(private val maxCalls: Int) {
+        private val counts = LinkedHashMap<Offer, Int>()
+
+        fun room(offer: Offer): Int {
+            val others = counts.entries.sumOf { (other, count) -> if (other == offer) 0 else callsFor(count) }
+            return (maxCalls - others) * MOST_PER_CALL - (counts[offer] ?: 0)
+        }
+
+        fun add(offer: Offer, count: Int) {
+            counts.merge(offer, count, Int::plus)
+        }
+
+        fun calls(): List<Pair<Offer, Int>> = counts.flatMap { (offer, count) ->
+            List(callsFor(count)) { call -> offer to min(MOST_PER_CALL, count - call * MOST_PER_CALL) }
+        }
+
+        private fun callsFor(count: Int) = (count + MOST_PER_CALL - 1) / MOST_PER_CALL
     }
 
     /** Machines that have been idle for longer than it pays to keep them. */
@@ -184,27 +225,37 @@
             (shape.zone == null || offer.zone == shape.zone) &&
             (shape.spotAllowed || !offer.spot)
 
-    private fun best(shape: PlacementClass, count: Int, nowMs: Long, taken: Map<Offer, Int>): Offer? =
-        types.values.asSequence().filter { it.holds(shape) }
+    /**
+     * The cheapest offer for each processor that the demand uses, its boot time spread over the time for
+     * which it is likely kept. Work that may run on spot machines gets others only if it is [ordinary],
+     * which is too late to wait.
+     */
+    private fun best(demand: Demand, count: Int, nowMs: Long, plan: Plan, ordinary: Boolean): Offer? {
+        val shape = demand.shape
+        return types.values.asSequence().filter { it.holds(shape) }
             .flatMap { type -> type.zones.asSequence().flatMap { zone -> sequenceOf(Offer(type.name, zone, true), Offer(type.name, zone, false)) } }
-            .filter { allows(shape, it) && nowMs >= (refusedUntilMs[it] ?: 0) && (taken[it] ?: 0) < MOST_PER_CALL }
+            .filter { allows(shape, it) && (it.spot || ordinary) && nowMs >= (refusedUntilMs[it] ?: 0) && plan.room(it) > 0 }
             .minByOrNull { offer ->
                 val type = types.getValue(offer.type)
                 val used = min(count, slots(shape, type.cpus, type.gpus, type.memoryGb))
-                type.priceOf(offer.spot) / used * (1 + type.bootS / deployment.leaseS)
+                type.priceOf(offer.spot) / used * (1 + type.bootS / (deployment.leaseS * KEPT_LEASES))
             }
+    }
 
-    private inner class Space(val offer: Offer, type: MachineType) {
+    private inner class Space(val offer: Offer, private val type: MachineType) {
         private var cpus = type.cpus
         private var gpus = type.gpus
         private var memoryGb = type.memoryGb
 
-        fun take(shape: PlacementClass, most: Int): Int {
-            val n = min(most, slots(shape, cpus, gpus, memoryGb))
-            cpus -= n * shape.cpus
-            gpus -= n * shape.gpus
-            memoryGb -= n * shape.memoryGb
-            return n
+        /** Takes up to [most] tasks, which may run here one after the other. */
+        fun take(demand: Demand, most: Int): Int {
+            val turns = demand.turns(type)
+            val shape = demand.shape
+            val used = min((most + turns - 1) / turns, slots(shape, cpus, gpus, memoryGb))
+            cpus -= used * shape.cpus
+            gpus -= used * shape.gpus
+            memoryGb -= used * shape.memoryGb
+            return min(most, used * turns)
         }
     }
 
@@ -215,11 +266,14 @@
         /** A machine that is deleted costs a minute at least. */
         private const val MIN_CHARGE_MS = 60_000L
 
-        /** Idle machines are kept for as many boot times: what a new one would make its tasks wait. */
-        private const val IDLE_BOOTS = 1.0
+        /** Idle machines are kept for as many boot times: part of what a new one would make its tasks wait. */
+        private const val IDLE_BOOTS = 0.5
+
+        /** Boots take up to 1.5 times their nominal time, except those of a few: given up on after so many. */
+        private const val LATE_BOOTS = 2.5
 
-        /** "Some machines take several times as long": given up on after as many nominal boot times. */
-        private const val LATE_BOOTS = 4.0
+        /** A machine is kept for about so many leases; its boot is paid for out of that. */
+        private const val KEPT_LEASES = 6.0
 
         /** After a refusal the same offer is asked for again after as many report periods. */
         private const val REFUSAL_REPORTS = 3.0
