Shorter leader's lease, images told to followers, late arrays alone on dear machines

Ruled out: replay (60 to 420 ms of each take-over). Change: a lease of a 24th of the workers' (1.4 s); the leader tells its followers the images every one and a half report periods, a hint no rule rests on; demand goes by a class's mean estimate and the first aim within reach; room made by stopping arrays isn't rented again. Tests: order of the queue, growth of a round, limits of commits, machines that hear nothing, late copies.

--- a/src/main/kotlin/cleathitch/LeaderTerm.kt
+++ b/src/main/kotlin/cleathitch/LeaderTerm.kt
@@ -5,8 +5,10 @@
 import cleathitch.core.Deployment
 import cleathitch.core.Effect
 import cleathitch.core.Engine
+import cleathitch.core.HeldImages
 import cleathitch.core.JobId
 import cleathitch.core.JobSpec
+import cleathitch.core.MachineId
 import cleathitch.core.MachineType
 import cleathitch.core.Moment
 import cleathitch.core.NoteLevel
@@ -55,6 +57,8 @@
     private val store: Store,
     heldUntilMs: Long,
     private val knownTypes: List<MachineType>,
+    private val imagesTold: Map<MachineId, HeldImages>,
+    private val tellImages: (Map<MachineId, HeldImages>) -> Unit,
     private val stepDown: (String) -> Unit,
 ) {
     private val commands = Channel<Command>(Channel.UNLIMITED)
@@ -115,6 +119,7 @@
         )
         commands.trySend(Command.LeaseHeld(heldUntilMs))
         if (knownTypes.isNotEmpty()) commands.trySend(Command.TypesListed(knownTypes))
+        commands.trySend(Command.ImagesTold(imagesTold))
         ready = true
         log.info(
             "term {}: leading after {} ms of replay; {} jobs open, {} records",
@@ -160,6 +165,7 @@
             is Effect.Return -> launch {
                 if (services.cloud.giveBack(effect.machines)) commands.send(Command.Returned(effect.machines))
             }
+            is Effect.TellImages -> tellImages(effect.images)
             is Effect.StepDown -> stepDown(effect.reason)
             is Effect.Note -> when (effect.level) {
                 NoteLevel.ERROR -> log.error("term {}: {}", term.revision, effect.text)
--- a/src/main/kotlin/cleathitch/Node.kt
+++ b/src/main/kotlin/cleathitch/Node.kt
@@ -1,6 +1,7 @@
 package cleathitch
 
 import cleathitch.config.Settings
+import cleathitch.core.HeldImages
 import cleathitch.core.MachineId
 import cleathitch.core.MachineType
 import cleathitch.core.Report
@@ -52,6 +53,7 @@
     private var leaderTerm = 0L
     private var leaderHeardMs: Long? = null
     private var types: List<MachineType> = emptyList()
+    private val imagesTold = HashMap<MachineId, HeldImages>()
     private val redirectedMs = HashMap<MachineId, Long>()
 
     suspend fun run() {
@@ -72,7 +74,7 @@
     override fun elected(term: Term, heldUntilMs: Long) {
         log.info("term {}: elected", term.revision)
         val store = Store(state, PREFIX, LEADER_KEY, term)
-        val mine = LeaderTerm(term, services, store, heldUntilMs, types) { reason -> depose(term, reason) }
+        val mine = LeaderTerm(term, services, store, heldUntilMs, types, HashMap(imagesTold), ::tellImages) { reason -> depose(term, reason) }
         leading = mine
         leader = settings.member
         leaderTerm = term.revision
@@ -124,6 +126,10 @@
         }
     }
 
+    private fun tellImages(images: Map<MachineId, HeldImages>) {
+        for (part in PeerRequest.Images.of(images)) for (peer in settings.peers) scope.launch { peers.ask(peer.addr, part, reportMs / 3) }
+    }
+
     private fun heard(from: String, term: Long) {
         if (term < leaderTerm) return
         leading?.let { if (it.term.revision < term) depose(it.term, "$from leads in term $term") }
@@ -231,6 +237,11 @@
             heard(request.from, request.term)
             PeerReply(200, leader = leader, term = leaderTerm)
         }
+        is PeerRequest.Images -> {
+            if (imagesTold.size > MOST_IMAGES_TOLD) imagesTold.clear()
+            imagesTold += request.held()
+            PeerReply(200, leader = leader, term = leaderTerm)
+        }
         is PeerRequest.User -> user(request.method, request.path, request.body, forwarded = true)
             .let { PeerReply(it.status, it.body, it.retryAfterS, leader, leaderTerm) }
         is PeerRequest.WorkerReport -> {
@@ -256,6 +267,9 @@
 
         /** An election takes one lease, its replay, and the leader's first word to its peers. */
         const val ELECTION_LEASES = 3
+
+        /** Machines come and go; what was told of the present ones comes again soon. */
+        const val MOST_IMAGES_TOLD = 10_000
         const val MOST_REDIRECTED = 100_000
     }
 }
--- a/src/main/kotlin/cleathitch/core/Commands.kt
+++ b/src/main/kotlin/cleathitch/core/Commands.kt
@@ -18,6 +18,9 @@
     data class MachinesListed(val machines: List<ListedMachine>) : Command
     data class RentalAnswered(val request: String, val answer: RentalAnswer) : Command
     data class Returned(val machines: List<MachineId>) : Command
+
+    /** What an earlier leader told of machines' images: a hint for placement, on which no rule rests. */
+    data class ImagesTold(val images: Map<MachineId, HeldImages>) : Command
     data object Tick : Command
 }
 
@@ -50,6 +53,9 @@
     data class Inspect(val machine: MachineId, val addr: String) : Effect
     data class Rent(val asked: Event.RentalAsked) : Effect
     data class Return(val machines: List<MachineId>) : Effect
+
+    /** For the followers, of which one may lead next. */
+    data class TellImages(val images: Map<MachineId, HeldImages>) : Effect
     data class StepDown(val reason: String) : Effect
     data class Note(val level: NoteLevel, val text: String) : Effect
 }
--- a/src/main/kotlin/cleathitch/core/Engine.kt
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -23,8 +23,9 @@
     private val journal = Journal(deployment, sizes)
     private val placement = Placement(fleet, ledger)
 
-    /** For each class, within how many seconds its jobs should be finished. */
-    private val aims = deployment.objectives.filterIsInstance<Objective.Finished>().groupBy({ it.className }, { it.withinS })
+    /** For each class, within how many seconds its jobs should be finished, the first aim first. */
+    private val aims = deployment.objectives.filterIsInstance<Objective.Finished>().sortedBy { it.withinS }
+        .groupBy({ it.className }, { it.withinS })
     private val effects = ArrayList<Effect>()
     private val gates = ArrayList<Gate>()
 
@@ -43,6 +44,9 @@
 
     private var now = start
     private val startedMs = start.steadyMs
+
+    /** Nobody led before: there is nothing of which machines would have to tell first. */
+    private val first = snapshot.head == Seq.NONE
     private var heldUntilMs = start.steadyMs
     private val firstVersion = OrderVersion.first(term.revision)
     private var version = firstVersion
@@ -60,6 +64,10 @@
     private var lastTrimMs = start.steadyMs
     private var rentCount = 0L
     private var fleetListed = false
+
+    /** Without it a new leader places blindly, and machines fetch again what their neighbours hold. */
+    private var imagesTold: Map<MachineId, HeldImages> = emptyMap()
+    private var lastToldMs = start.steadyMs
     private var demands: List<Fleet.Demand> = emptyList()
     private var stepped = false
 
@@ -107,6 +115,7 @@
                 lastWatchMs = now.steadyMs
                 watchMachines()
                 sendFleetOrders()
+                tellImages()
             }
             if (mayPlace()) round()
             resizeFleet()
@@ -142,6 +151,7 @@
             }
             is Command.RentalAnswered -> rentalAnswered(command)
             is Command.Returned -> command.machines.forEach { confirmGone(it) }
+            is Command.ImagesTold -> imagesTold = command.images
             Command.Tick -> Unit
         }
     }
@@ -315,6 +325,9 @@
             ?: adopt(report.machine, Offer(report.type, report.zone, report.spot), now.steadyMs)
         if (machine.newerThan(report)) return false
         if (report.session > machine.session) machine.forgetImages()
+        if (machine.lastHeardMs == null) {
+            imagesTold[machine.id]?.takeIf { it.session == report.session }?.sizesGb?.forEach(machine::sawImage)
+        }
         machine.addr = report.addr
         machine.session = report.session
         machine.seq = report.seq
@@ -650,7 +663,7 @@
      * reported yet, as renting and returning, waits for a report period.
      */
     private fun mayPlace() = leaseHeld() && fleet.types.isNotEmpty()
-    private fun settled() = mayPlace() && now.steadyMs - startedMs >= tuning.takeOverMs
+    private fun settled() = mayPlace() && (first || now.steadyMs - startedMs >= tuning.takeOverMs)
 
     private fun round() {
         if (now.steadyMs - lastRoundMs < tuning.roundMs || !journal.idle || journal.backlog > MOST_BACKLOG) return
@@ -669,7 +682,7 @@
         for (job in jobs) if (Queue.overdue(job, now.wallMs)) place(job, look, stuck, lacking, most = 1)
         lacking.clear()
         for (job in jobs) place(job, look, stuck, lacking)
-        demands = Forecast(deployment, fleet, ledger).demands(lacking)
+        demands = Forecast(fleet, ledger, aims).demands(lacking)
         looks += look.looks
     }
 
@@ -694,8 +707,8 @@
                 // What fits nowhere for one job fits nowhere for its like, unless other tasks of the job decide.
                 if (!job.spec.oneZone && !job.spec.spread) stuck += shape
                 val count = minOf(job.waiting, quota.roomFor(job.spec))
-                lacking += Lack(job.spec, count)
-                preempt(job, look, count)
+                val left = count - preempt(job, look, count)
+                if (left > 0) lacking += Lack(job.spec, left)
                 return
             }
             start(job, index, machine)
@@ -703,16 +716,18 @@
         }
     }
 
-    /** Makes room for a job's next tasks by stopping work of lower priority, as the page allows. */
-    private fun preempt(job: Job, look: Placement.Look, count: Int) {
-        if (job.spec.priority != Priority.PRODUCTION || !settled()) return
+    /** Makes room for a job's next tasks by stopping work of lower priority, as the page allows; tells for how many. */
+    private fun preempt(job: Job, look: Placement.Look, count: Int): Int {
+        if (job.spec.priority != Priority.PRODUCTION || !settled()) return 0
         val machines = LinkedHashSet<Machine>()
-        for (victim in look.victims(job, count)) {
+        val made = look.makeRoom(job, count)
+        for (victim in made.victims) {
             victim.stop = StopCause.PREEMPTED
             note(NoteLevel.DEBUG) { "task ${victim.id} on machine ${victim.machine} makes room for job ${job.id}" }
             fleet.machines[victim.machine]?.let { machines += it }
         }
         machines.forEach(::push)
+        return made.tasks
     }
 
     /** A gang is started whole, and again only when nothing of an earlier start is left. */
@@ -748,7 +763,15 @@
                 note(NoteLevel.INFO) { "rental ${asked.request}: asking for $count $offer" }
             }
         }
-        if (settled()) fleet.idle(now.steadyMs).forEach { retire(it.id, "it is idle") }
+        if (!settled()) return
+        fleet.idle(now.steadyMs).forEach { retire(it.id, "it is idle") }
+    }
+
+    private fun tellImages() {
+        if (now.steadyMs - lastToldMs < tuning.tellImagesMs) return
+        lastToldMs = now.steadyMs
+        val up = fleet.machines.values.filter { it.state == MachineState.UP && it.lastHeardMs != null }
+        effects += Effect.TellImages(up.associate { it.id to it.heldImages() })
     }
 
     private fun stepDown(reason: String) {
--- a/src/main/kotlin/cleathitch/core/Fleet.kt
+++ b/src/main/kotlin/cleathitch/core/Fleet.kt
@@ -1,5 +1,6 @@
 package cleathitch.core
 
+import kotlin.math.ceil
 import kotlin.math.floor
 import kotlin.math.max
 import kotlin.math.min
@@ -60,6 +61,7 @@
     }
 
     fun forgetImages() = images.clear()
+    fun heldImages() = HeldImages(session, LinkedHashMap(images))
     fun newerThan(report: Report) = report.session < session || (report.session == session && report.seq <= seq)
 
     private companion object {
@@ -90,12 +92,11 @@
     private val refusedUntilMs = HashMap<Offer, Long>()
 
     /**
-     * The class of tasks that want machines, how many of them, and how many of these may not wait for a
-     * spot machine. Within [slackS] as many may run one after the other as it holds [runS].
+     * The class of tasks that want machines, how many of them, and for how many of these running tasks
+     * leave no room in time either. Within [slackS] as many may run one after the other as it holds [runS].
      */
-    data class Demand(val shape: PlacementClass, val count: Int, val ordinary: Int, val slackS: Double = 0.0, val runS: Double = 0.0) {
-        fun turns(type: MachineType): Int =
-            if (runS <= 0) 1 else ((slackS - type.bootS) / runS).toInt().coerceAtLeast(1)
+    data class Demand(val shape: PlacementClass, val count: Int, val late: Int, val slackS: Double = 0.0, val runS: Double = 0.0) {
+        fun turns(type: MachineType): Double = if (runS <= 0) 1.0 else ((slackS - type.bootS) / runS).coerceAtLeast(1.0)
     }
 
     fun apply(event: Event.OfFleet) {
@@ -151,38 +152,44 @@
             types[asked.offer.type]?.let { type -> repeat(asked.count) { spaces += Space(asked.offer, type) } }
         }
         val plan = Plan(maxCalls)
+        val unserved = ArrayList<Demand>()
         for (demand in demands.flatMap(::byZone)) {
             var left = demand.count
             for (space in spaces) {
                 if (left == 0) break
                 if (allows(demand.shape, space.offer)) left -= space.take(demand, left)
             }
-            var ordinary = demand.ordinary
-            while (left > 0) {
-                val offer = best(demand, left, nowMs, plan, ordinary > 0) ?: break
-                val type = types.getValue(offer.type)
-                val each = slots(demand.shape, type.cpus, type.gpus, type.memoryGb) * demand.turns(type)
-                val most = if (offer.spot) left else min(left, ordinary)
-                val count = min(plan.room(offer), max(1, most / each))
-                plan.add(offer, count)
-                repeat(count) {
-                    val space = Space(offer, type)
-                    val taken = space.take(demand, left)
-                    left -= taken
-                    if (!offer.spot) ordinary -= taken
-                    spaces += space
-                }
+            rent(demand, left, nowMs, plan, spotOnly = demand.shape.spotAllowed) { space ->
+                left -= space.take(demand, left)
+                spaces += space
             }
+            if (demand.shape.spotAllowed) unserved += demand.copy(count = min(left, demand.late))
         }
+        // What may run on spot machines gets others only if it can neither have those nor wait.
+        for (demand in unserved) rent(demand, demand.count, nowMs, plan, spotOnly = false) {}
         return plan.calls()
     }
 
+    /** Plans machines for [count] tasks of the demand, as far as offers and calls go. */
+    private fun rent(demand: Demand, count: Int, nowMs: Long, plan: Plan, spotOnly: Boolean, planned: (Space) -> Unit) {
+        var left = count
+        while (left > 0) {
+            val offer = best(demand, left, nowMs, plan, spotOnly) ?: return
+            val type = types.getValue(offer.type)
+            val each = (slots(demand.shape, type.cpus, type.gpus, type.memoryGb) * demand.turns(type)).toInt()
+            val machines = min(plan.room(offer), max(1, left / each))
+            plan.add(offer, machines)
+            repeat(machines) { planned(Space(offer, type)) }
+            left -= machines * each
+        }
+    }
+
     /** A spread job's tasks need room in more than one zone. */
     private fun byZone(demand: Demand): List<Demand> {
         if (!demand.shape.spread || demand.shape.zone != null || zones.size < 2) return listOf(demand)
         return zones.mapIndexed { i, zone ->
             fun part(count: Int) = count / zones.size + if (i < count % zones.size) 1 else 0
-            demand.copy(shape = demand.shape.copy(zone = zone), count = part(demand.count), ordinary = part(demand.ordinary))
+            demand.copy(shape = demand.shape.copy(zone = zone), count = part(demand.count), late = part(demand.late))
         }
     }
 
@@ -227,14 +234,13 @@
 
     /**
      * The cheapest offer for each processor that the demand uses, its boot time spread over the time for
-     * which it is likely kept. Work that may run on spot machines gets others only if it is [ordinary],
-     * which is too late to wait.
+     * which it is likely kept.
      */
-    private fun best(demand: Demand, count: Int, nowMs: Long, plan: Plan, ordinary: Boolean): Offer? {
+    private fun best(demand: Demand, count: Int, nowMs: Long, plan: Plan, spotOnly: Boolean): Offer? {
         val shape = demand.shape
         return types.values.asSequence().filter { it.holds(shape) }
             .flatMap { type -> type.zones.asSequence().flatMap { zone -> sequenceOf(Offer(type.name, zone, true), Offer(type.name, zone, false)) } }
-            .filter { allows(shape, it) && (it.spot || ordinary) && nowMs >= (refusedUntilMs[it] ?: 0) && plan.room(it) > 0 }
+            .filter { allows(shape, it) && (it.spot || !spotOnly) && nowMs >= (refusedUntilMs[it] ?: 0) && plan.room(it) > 0 }
             .minByOrNull { offer ->
                 val type = types.getValue(offer.type)
                 val used = min(count, slots(shape, type.cpus, type.gpus, type.memoryGb))
@@ -242,7 +248,7 @@
             }
     }
 
-    private inner class Space(val offer: Offer, private val type: MachineType) {
+    private class Space(val offer: Offer, private val type: MachineType) {
         private var cpus = type.cpus
         private var gpus = type.gpus
         private var memoryGb = type.memoryGb
@@ -251,11 +257,11 @@
         fun take(demand: Demand, most: Int): Int {
             val turns = demand.turns(type)
             val shape = demand.shape
-            val used = min((most + turns - 1) / turns, slots(shape, cpus, gpus, memoryGb))
+            val used = min(ceil(most / turns).toInt(), slots(shape, cpus, gpus, memoryGb))
             cpus -= used * shape.cpus
             gpus -= used * shape.gpus
             memoryGb -= used * shape.memoryGb
-            return min(most, used * turns)
+            return min(most, (used * turns).toInt())
         }
     }
 
--- a/src/main/kotlin/cleathitch/core/Forecast.kt
+++ b/src/main/kotlin/cleathitch/core/Forecast.kt
@@ -9,10 +9,21 @@
  * How many of the tasks without room need new machines. Running tasks end and make room, often sooner
  * than a machine boots; as long as a class can wait for that and still meet its aim, nothing is rented.
  */
-class Forecast(private val deployment: Deployment, private val fleet: Fleet, private val ledger: Ledger) {
-    private class Want(val spec: JobSpec) {
+class Forecast(private val fleet: Fleet, private val ledger: Ledger, private val aims: Map<String, List<Double>>) {
+    /** What a class lacks, after what running tasks leave within half of their slack, and within all of it. */
+    private class Want {
+        var tasks = 0
         var soon = 0.0
         var late = 0.0
+        var slackS = 0.0
+        var runS = 0.0
+
+        /** Jobs of a class have estimates of their own; their mean stands for the class. */
+        fun add(count: Int, slack: Double, run: Double) {
+            slackS += (slack - slackS) * count / (tasks + count)
+            runS += (run - runS) * count / (tasks + count)
+            tasks += count
+        }
     }
 
     fun demands(lacking: List<Lack>): List<Fleet.Demand> {
@@ -30,31 +41,29 @@
             val late = minOf(lack.count * cpus, (freed * slackS - usedLate).coerceAtLeast(0.0))
             usedSoon += soon
             usedLate += late
-            val want = wants.getOrPut(lack.spec.placementClass) { Want(lack.spec) }
+            val want = wants.getOrPut(lack.spec.placementClass) { Want() }
+            want.add(lack.count, slackS, lack.spec.estimateS)
             want.soon += lack.count - soon / cpus
             want.late += lack.count - late / cpus
         }
         return wants.mapNotNull { (shape, want) ->
             val count = ceil(want.soon - ROUNDING).toInt()
-            val ordinary = if (shape.spotAllowed) ceil(want.late - ROUNDING).toInt() else count
-            val slackS = slackS(want.spec) * SLACK_USED
-            Fleet.Demand(shape, count, ordinary, slackS, want.spec.estimateS).takeIf { count > 0 }
+            Fleet.Demand(shape, count, ceil(want.late - ROUNDING).toInt(), want.slackS, want.runS).takeIf { count > 0 }
         }
     }
 
-    /** For how long a task may wait in the queue: what its run and its image leave of its class's first aim. */
+    /**
+     * For how long a task may wait in the queue: what its run and its image leave of its class's first aim
+     * that it can meet. One that meets none has all the time of the last: a machine more wouldn't help it.
+     */
     private fun slackS(spec: JobSpec): Double {
         if (spec.kind != JobKind.ARRAY) return 0.0
-        val within = deployment.objectives.filterIsInstance<Objective.Finished>()
-            .filter { it.className == spec.className }.minOfOrNull { it.withinS } ?: spec.deadlineS ?: return 0.0
         val fetchS = spec.imageGb / (fleet.types.values.maxOfOrNull { it.fetchGbPerS } ?: return 0.0)
-        return (within - spec.estimateS - fetchS).coerceAtLeast(0.0)
+        val aims = aims[spec.className] ?: listOf(spec.deadlineS ?: return 0.0)
+        return aims.firstOrNull { it > spec.estimateS + fetchS }?.let { it - spec.estimateS - fetchS } ?: aims.last()
     }
 
     private companion object {
         const val ROUNDING = 1e-6
-
-        /** Estimates are often wrong by half, and machines come late: not all of the slack is planned away. */
-        const val SLACK_USED = 0.75
     }
 }
--- a/src/main/kotlin/cleathitch/core/Model.kt
+++ b/src/main/kotlin/cleathitch/core/Model.kt
@@ -169,6 +169,9 @@
     data class Forget(override val attempt: AttemptId) : Order
 }
 
+/** The images that a machine seems to hold in a session, oldest use first, with their sizes. */
+data class HeldImages(val session: Long, val sizesGb: Map<String, Double>)
+
 /** A machine as the cloud lists it. */
 data class ListedMachine(
     val machine: MachineId,
--- a/src/main/kotlin/cleathitch/core/Placement.kt
+++ b/src/main/kotlin/cleathitch/core/Placement.kt
@@ -4,6 +4,9 @@
 
 /** Where tasks go and whose tasks make room for them. What it sees is fixed at the start of a round. */
 class Placement(private val fleet: Fleet, private val ledger: Ledger) {
+    /** The tasks to stop, and for how many others that and what is being stopped already makes room. */
+    class RoomMade(val victims: List<Attempt>, val tasks: Int)
+
     /** What is free of a machine in this round. */
     private class Room(val machine: Machine, type: MachineType, load: Load?, attempts: Collection<Attempt>) {
         var cpus = type.cpus - (load?.cpus ?: 0.0)
@@ -108,13 +111,13 @@
          * The tasks to stop so that up to [count] of [job] find room: where least is lost, and never one
          * that the page protects. Room that stopped tasks are about to leave is reckoned with first.
          */
-        fun victims(job: Job, count: Int): List<Attempt> {
+        fun makeRoom(job: Job, count: Int): RoomMade {
             val found = sacrifices.getOrPut(job.spec.placementClass) { Sacrifices(job.spec) }
             val zones = zonesFor(job)
             val chosen = ArrayList<Attempt>()
             var left = count
             while (left > 0) left -= found.take(zones, left, chosen) ?: break
-            return chosen
+            return RoomMade(chosen, count - left)
         }
 
         /** What could be stopped for a class, machine by machine, the least loss first. */
--- a/src/main/kotlin/cleathitch/core/Tuning.kt
+++ b/src/main/kotlin/cleathitch/core/Tuning.kt
@@ -20,6 +20,9 @@
     /** By then a machine whose reports reach nobody has lost its lease. */
     val lostMs: Long,
     val returnGapMs: Long,
+
+    /** How often the followers hear which machine holds which images. */
+    val tellImagesMs: Long,
     val takeOverMs: Long,
     val stallMs: Long,
     val intakeMs: Long,
@@ -52,12 +55,13 @@
                 trimMs = trimS?.let { (it * 1000).toLong() } ?: TRIM_MS,
                 graceMs = (spareMs * 0.25).toLong().coerceAtLeast(0),
                 leaseMarginMs = (deployment.leaseS * 1000 * DRIFT + reportMs / 4).toLong(),
-                leaderLeaseMs = (deployment.leaseS * 1000 / 12).toLong(),
+                leaderLeaseMs = (deployment.leaseS * 1000 / 24).toLong(),
                 probeMs = (reportMs * 1.35).toLong(),
                 probeGapMs = (reportMs / 4).toLong(),
                 silentMs = (reportMs * 2).toLong(),
                 lostMs = (deployment.leaseS * 1000 + reportMs).toLong(),
                 returnGapMs = (2000 / deployment.cloudRps).toLong(),
+                tellImagesMs = (reportMs * 1.5).toLong(),
                 takeOverMs = (reportMs * 1.25).toLong(),
                 stallMs = (reportMs / 4).toLong(),
                 intakeMs = (reportMs / 2).toLong(),
--- a/src/main/kotlin/cleathitch/peers/Messages.kt
+++ b/src/main/kotlin/cleathitch/peers/Messages.kt
@@ -1,11 +1,15 @@
 package cleathitch.peers
 
+import cleathitch.core.HeldImages
+import cleathitch.core.MachineId
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.cbor.CborArray
 
 /** What one node asks of another. */
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 @Suppress("ArrayInDataClass") // never compared
 sealed interface PeerRequest {
@@ -19,6 +23,32 @@
     @SerialName("user")
     data class User(val method: String, val path: String, val body: ByteArray) : PeerRequest
 
+    /** Which machines hold which images; [images] and [sizesGb] are named by their places in the lists. */
+    @Serializable
+    @SerialName("images")
+    data class Images(val images: List<String>, val sizesGb: List<Double>, val machines: List<Holder>) : PeerRequest {
+        @Serializable
+        @CborArray
+        data class Holder(val machine: MachineId, val session: Long, val images: List<Int>)
+
+        fun held(): Map<MachineId, HeldImages> = machines.associate { holder ->
+            holder.machine to HeldImages(holder.session, holder.images.filter { it in images.indices && it in sizesGb.indices }.associate { images[it] to sizesGb[it] })
+        }
+
+        companion object {
+            /** So many machines' images fit into a body by far. */
+            private const val MACHINES_EACH = 400
+
+            fun of(held: Map<MachineId, HeldImages>): List<Images> {
+                val sizes = LinkedHashMap<String, Double>()
+                held.values.forEach { sizes.putAll(it.sizesGb) }
+                val places = sizes.keys.withIndex().associate { (place, image) -> image to place }
+                val holders = held.map { (id, it) -> Holder(id, it.session, it.sizesGb.keys.map(places::getValue)) }
+                return holders.chunked(MACHINES_EACH) { Images(sizes.keys.toList(), sizes.values.toList(), it) }
+            }
+        }
+    }
+
     /** A worker's report that can't reach the leader by itself. */
     @Serializable
     @SerialName("report")
--- /dev/null
+++ b/src/test/kotlin/cleathitch/core/GrownTest.kt
@@ -0,0 +1,133 @@
+package cleathitch.core
+
+import cleathitch.state.StoredCodec
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/**
+ * One engine with a fleet and a queue of the size of large deployments. What is counted are looks and
+ * bytes, not seconds, so that the verdict is the same each time.
+ */
+class GrownTest {
+    private val type = MachineType("m4", 4.0, 0.0, 16.0, 50.0, 1.0, 1.0, 0.4, 5.0, listOf("a", "b"))
+    private val deployment = World.standard.copy(teams = mapOf("red" to Team("red", 8.0, null, 0.0, null)))
+    private val tuning = Tuning.of(deployment)
+    private val engine = Engine(deployment, tuning, Term(7), Snapshot.EMPTY, Moment(0, 0), StoredCodec)
+    private var nowMs = 0L
+    private var revision = 7L
+    private var requests = 0L
+    private val commits = ArrayList<Commit>()
+
+    private fun step(vararg commands: Command): List<Effect> {
+        val effects = engine.handle(commands.toList(), Moment(nowMs, nowMs)).toMutableList()
+        effects.filterIsInstance<Effect.Write>().forEach { write ->
+            commits += write.commit
+            effects += step(Command.Committed(write.commit.seq, ++revision))
+        }
+        return effects
+    }
+
+    private fun settle(rounds: Int) = List(rounds) {
+        nowMs += tuning.roundMs
+        step(Command.Tick)
+    }.flatten()
+
+    private fun machines(count: Int) {
+        step(Command.LeaseHeld(Long.MAX_VALUE / 2), Command.TypesListed(listOf(type)))
+        repeat(count) { i ->
+            val report = Report(
+                MachineId("vm-%06d".format(i)), "10.0.0.9:1", "m4", if (i % 2 == 0) "a" else "b", false, 1, 1,
+                OrderVersion.first(7), null, emptyList(),
+            )
+            step(Command.Reported(RequestId(++requests), report))
+        }
+    }
+
+    private fun submit(jobs: Int, tasks: Int) = repeat(jobs) {
+        step(Command.Submit(RequestId(++requests), World.job(requests.toInt(), tasks = tasks)))
+    }
+
+    private fun looksFor(machines: Int, jobs: Int): Long {
+        val fresh = GrownTest()
+        fresh.machines(machines)
+        fresh.submit(jobs, tasks = 2)
+        val before = fresh.engine.looks
+        // The first round waits until the intakes are written, which the budget of changes spreads.
+        repeat(200) { if (fresh.engine.looks == before) fresh.settle(rounds = 1) }
+        return fresh.engine.looks - before
+    }
+
+    /** Once each task was weighed against each machine. */
+    @Test
+    fun `a round looks once at each machine for a class, however many jobs wait`() {
+        assertEquals(looksFor(1000, 10), looksFor(1000, 400))
+        assertEquals(2 * looksFor(700, 100), looksFor(1400, 100))
+    }
+
+    /** A limit passed is a transaction refused for good, and with it everything after it. */
+    @Test
+    fun `no commit passes the state service's limits, with a thousand starts in a round and a job of 100,000 tasks`() {
+        machines(1400)
+        submit(jobs = 300, tasks = 4)
+        submit(jobs = 1, tasks = 100_000)
+        settle(rounds = 100)
+        assertTrue(commits.sumOf { it.changes.size } > 300)
+        for (commit in commits) {
+            val values = commit.changes.filterIsInstance<Change.Put>().flatMap { StoredCodec.encode(it.value, it.parts) }
+            val operations = values.size + commit.changes.count { it is Change.Delete }
+            assertTrue(operations <= deployment.stateTxnOps) { "$operations operations" }
+            values.forEach { assertTrue(it.toString().length <= deployment.stateValueBytes) { "a value of ${it.toString().length}" } }
+            val bytes = values.sumOf { it.toString().length + 80 }
+            assertTrue(bytes <= 65_536) { "$bytes bytes" }
+        }
+    }
+
+    @Test
+    fun `changes are paced by the state service's budget, and what users wait for goes first`() {
+        machines(10)
+        val begin = commits.size
+        submit(jobs = 1, tasks = 1)
+        assertEquals(begin + 1, commits.size, "an intake with budget left is written at once")
+        val written = commits.size
+        val startMs = nowMs
+        settle(rounds = 400)
+        val changes = commits.drop(written).sumOf { it.changes.size }
+        assertTrue(changes <= deployment.stateWriteRps * (nowMs - startMs + 1000) / 1000) { "$changes changes" }
+    }
+
+    /** A late copy of a report may be the first that a new leader hears of a machine that is long gone. */
+    @Test
+    fun `a machine gets tasks once it shows a version of this term, not before`() {
+        step(Command.LeaseHeld(Long.MAX_VALUE / 2), Command.TypesListed(listOf(type)))
+        fun report(seq: Long, version: OrderVersion) =
+            Report(MachineId("vm-1"), "10.0.0.9:1", "m4", "a", false, 1, seq, version, null, emptyList())
+        step(Command.Reported(RequestId(++requests), report(1, OrderVersion.first(3))))
+        submit(jobs = 1, tasks = 1)
+        assertTrue(settle(rounds = 4).none { it is Effect.Push })
+        step(Command.Reported(RequestId(++requests), report(2, OrderVersion.first(7))))
+        assertEquals(1, settle(rounds = 2).count { it is Effect.Push })
+    }
+
+    /** Its reports would keep it in the fleet for ever, and what is placed there would never run. */
+    @Test
+    fun `a machine that shows none of our answers is given nothing more and returned`() {
+        machines(20)
+        var seq = 1L
+        val returned = LinkedHashSet<MachineId>()
+        repeat(6) {
+            seq++
+            submit(jobs = 1, tasks = 1)
+            for (i in 0 until 20) {
+                val version = if (i == 0) OrderVersion.first(7) else OrderVersion.first(revision + 1)
+                val report = Report(
+                    MachineId("vm-%06d".format(i)), "10.0.0.9:1", "m4", if (i % 2 == 0) "a" else "b", false, 1, seq,
+                    minOf(version, OrderVersion.first(revision)), null, emptyList(),
+                )
+                step(Command.Reported(RequestId(++requests), report))
+            }
+            returned += settle(rounds = 8).filterIsInstance<Effect.Return>().flatMap { it.machines }
+        }
+        assertEquals(setOf(MachineId("vm-000000")), returned)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/cleathitch/core/QueueTest.kt
@@ -0,0 +1,52 @@
+package cleathitch.core
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Who is served first when not all can be. */
+class QueueTest {
+    private val teams = mapOf("red" to Team("red", 4.0, null, 0.0, null), "blue" to Team("blue", 0.0, null, 0.0, null))
+    private val quota = Quota(teams, Ledger())
+    private val aims = mapOf("batch" to listOf(100.0, 200.0))
+
+    private fun job(number: Int, submittedS: Int, tasks: Int, team: String = "blue", kind: JobKind = JobKind.ARRAY) =
+        Job(World.job(number, kind, tasks, team), submittedS * 1000L, Seq(1))
+
+    private fun order(nowS: Int, vararg jobs: Job) =
+        Queue(aims, quota, nowS * 1000L).order(jobs.toList()).map { it.id.text.removePrefix("j-").toInt() }
+
+    @Test
+    fun `services, then guarantees, then small jobs before large ones of about the same age`() {
+        val service = job(1, submittedS = 9, tasks = 2, kind = JobKind.SERVICE)
+        val guaranteed = job(2, submittedS = 8, tasks = 1, team = "red")
+        val large = job(3, submittedS = 1, tasks = 100)
+        val small = job(4, submittedS = 5, tasks = 2)
+        assertEquals(listOf(1, 2, 4, 3), order(10, large, small, guaranteed, service))
+    }
+
+    /** With shortest-first alone (turnMs without its bounds) the large job never comes up. */
+    @Test
+    fun `no stream of small jobs keeps a large one from its turn`() {
+        val large = job(1, submittedS = 0, tasks = 100)
+        val before = (0..300 step 5).takeWhile { now -> order(now, large, job(2, submittedS = now, tasks = 1)).first() == 2 }
+        assertTrue(before.last() in 30..100) { "the large job is first from ${before.last() + 5} s on" }
+    }
+
+    @Test
+    fun `a job that can't meet an aim any more gives way, but not for ever`() {
+        val lost = job(1, submittedS = 0, tasks = 5)
+        assertEquals(listOf(2, 1), order(95, lost, job(2, submittedS = 50, tasks = 5)))
+        assertEquals(listOf(1, 2), order(160, lost, job(2, submittedS = 120, tasks = 5)))
+    }
+
+    @Test
+    fun `a job of which nothing began within two minutes is overdue`() {
+        val waiting = job(1, submittedS = 0, tasks = 5)
+        assertFalse(Queue.overdue(waiting, 119_000))
+        assertTrue(Queue.overdue(waiting, 120_000))
+        waiting.lastNumber = 1
+        assertFalse(Queue.overdue(waiting, 120_000))
+    }
+}
--- a/src/test/kotlin/cleathitch/core/World.kt
+++ b/src/test/kotlin/cleathitch/core/World.kt
@@ -238,6 +238,7 @@
                     effect.machines.forEach { machines.remove(it) }
                     send { take(Command.Returned(effect.machines)) }
                 }
+                is Effect.TellImages -> Unit
                 is Effect.StepDown -> resign()
                 is Effect.Note -> trace += "${nowMs / 1000.0} $name ${effect.text}"
             }
