Idle connections end; long outages return no machine; relays only to the same leader

By reading: after an outage of the state service that outlasts our grace and a lease, every machine would have counted as unheard and gone back at once; and a worker redirected twice within five reports, as in two elections, stayed with a relaying follower. Ruled out: pushes' own connections (kept two seconds, two to a machine). Change: servers end connections that are idle for three report periods; silence counts from when reports are listened to; a relay needs a redirect to the same leader. Vert.x's line for each reset is off. Tests: a long outage returns no machine; pacing under a rush (the first form of that test caught nothing).

--- a/src/main/kotlin/cleathitch/App.kt
+++ b/src/main/kotlin/cleathitch/App.kt
@@ -18,6 +18,7 @@
 import io.vertx.core.VertxOptions
 import io.vertx.kotlin.coroutines.dispatcher
 import java.util.UUID
+import kotlin.math.ceil
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.launch
@@ -34,6 +35,8 @@
         val clocks = Clocks()
         val deployment = settings.deployment
         val reportMs = (deployment.reportS * 1000).toLong()
+        // Workers report and users poll well within that.
+        val idleS = ceil(deployment.reportS * IDLE_REPORTS).toInt()
         val tuning = Tuning.of(deployment, operator.trimS)
         val services = Services(
             deployment,
@@ -46,8 +49,8 @@
         val state = StateClient(vertx, settings.state, timeoutMs = tuning.leaderLeaseMs / 3)
         val node = Node(settings, services, state, PeerClient(vertx), scope, UUID.randomUUID().toString())
         scope.launch {
-            Front(vertx, scope, Wire.MAX_BODY, node::front).listen(settings.bind)
-            Front(vertx, scope, PEER_BODY) { method, path, body -> internal(node, method, path, body) }.listen(settings.internalAddr)
+            Front(vertx, scope, Wire.MAX_BODY, idleS, node::front).listen(settings.bind)
+            Front(vertx, scope, PEER_BODY, idleS) { method, path, body -> internal(node, method, path, body) }.listen(settings.internalAddr)
             log.info("node {} listens on {} and {}", settings.member, settings.bind, settings.internalAddr)
             node.run()
         }
@@ -70,6 +73,8 @@
         /** What the leader may take of the cloud's calls; the rest is for the others' start. */
         const val CLOUD_SHARE = 0.8
 
+        const val IDLE_REPORTS = 3
+
         /** A user's or worker's message with what CBOR adds. */
         const val PEER_BODY = Wire.MAX_BODY + 4096
     }
--- a/src/main/kotlin/cleathitch/Node.kt
+++ b/src/main/kotlin/cleathitch/Node.kt
@@ -54,7 +54,10 @@
     private var leaderHeardMs: Long? = null
     private var types: List<MachineType> = emptyList()
     private val imagesTold = HashMap<MachineId, HeldImages>()
-    private val redirectedMs = HashMap<MachineId, Long>()
+    private val redirects = HashMap<MachineId, Redirect>()
+
+    /** To which leader a worker was sent, and when. */
+    private class Redirect(val leader: String, val atMs: Long)
 
     suspend fun run() {
         scope.launch { learnTypes() }
@@ -212,14 +215,15 @@
         leading?.let { return beatHere(it, report) }
         val name = leader ?: return HttpReply(503)
         val now = clocks.steadyMs()
-        val last = redirectedMs[report.machine]
-        if (last != null && now - last < reportMs * RELAY_REPORTS) {
-            // It was sent to the leader and came back: the way there is cut.
+        val last = redirects[report.machine]
+        if (last != null && last.leader == name && now - last.atMs < reportMs * RELAY_REPORTS) {
+            // It was sent to this leader and came back: the way there is cut. Without a look at the leader's
+            // name, every worker that an election sent twice would have stayed with a follower for good.
             val reply = peerAddresses[name]?.let { peers.ask(it, PeerRequest.WorkerReport(body), FORWARD_MS) }
             return if (reply == null || reply.status != 200) HttpReply(503) else HttpReply(200, reply.body)
         }
-        if (redirectedMs.size > MOST_REDIRECTED) redirectedMs.clear()
-        redirectedMs[report.machine] = now
+        if (redirects.size > MOST_REDIRECTED) redirects.clear()
+        redirects[report.machine] = Redirect(name, now)
         return HttpReply(421, WorkerWire.elsewhere(name))
     }
 
--- a/src/main/kotlin/cleathitch/cli/Main.kt
+++ b/src/main/kotlin/cleathitch/cli/Main.kt
@@ -68,6 +68,8 @@
     val level = System.getenv("LOG_LEVEL")?.lowercase()?.takeIf { it in setOf("error", "info", "debug") } ?: "info"
     System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", "error")
     System.setProperty("org.slf4j.simpleLogger.log.cleathitch", level)
+    // Each connection that a peer or worker resets; what follows from it is logged where it is known.
+    System.setProperty("org.slf4j.simpleLogger.log.io.vertx.core.net.impl", "off")
     System.setProperty("org.slf4j.simpleLogger.showThreadName", "false")
     System.setProperty("org.slf4j.simpleLogger.showDateTime", "true")
     System.setProperty("org.slf4j.simpleLogger.dateTimeFormat", "yyyy-MM-dd'T'HH:mm:ss.SSSXXX")
--- a/src/main/kotlin/cleathitch/core/Engine.kt
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -45,6 +45,12 @@
     private var now = start
     private val startedMs = start.steadyMs
 
+    /**
+     * Since when machines' reports are listened to without a break. After an outage of the state service
+     * that outlasted our grace, every machine seems to have been silent for as long; none is to blame.
+     */
+    private var listeningSinceMs = start.steadyMs
+
     /** Nobody led before: there is nothing of which machines would have to tell first. */
     private val first = snapshot.head == Seq.NONE
     private var heldUntilMs = start.steadyMs
@@ -108,6 +114,7 @@
     fun handle(batch: List<Command>, now: Moment): List<Effect> {
         this.now = now
         effects.clear()
+        if (!mayAnswerMachines()) listeningSinceMs = now.steadyMs
         for (command in batch) if (!stepped) take(command)
         if (!stepped) {
             // What looks at every machine is done now and then; a batch costs what its commands change.
@@ -219,6 +226,7 @@
 
     // ---- users
 
+    private fun mayAnswerMachines() = now.steadyMs < heldUntilMs + tuning.graceMs
     private fun leaseHeld() = now.steadyMs < heldUntilMs
     private fun stalled() = writeSinceMs?.let { now.steadyMs - it > tuning.stallMs } == true
 
@@ -292,7 +300,7 @@
 
     private fun reported(command: Command.Reported) {
         val (request, report) = command
-        if (now.steadyMs >= heldUntilMs + tuning.graceMs || !observe(report)) {
+        if (!mayAnswerMachines() || !observe(report)) {
             effects += Effect.RefuseReport(request)
             return
         }
@@ -552,7 +560,7 @@
                 machine.addr?.let { effects += Effect.Inspect(machine.id, it) }
             }
         // It answers, but its own reports reach nobody: its lease has run out, and nothing can run there.
-        up.filter { now.steadyMs - (it.lastReportMs ?: startedMs) >= tuning.lostMs }.forEach {
+        up.filter { now.steadyMs - maxOf(it.lastReportMs ?: 0, listeningSinceMs) >= tuning.lostMs }.forEach {
             if (it.state == MachineState.UP) retire(it.id, "its reports don't arrive")
         }
         if (now.steadyMs - startedMs >= tuning.lostMs) {
@@ -568,7 +576,7 @@
         if (deaf.size <= maxOf(1, fleet.machines.size / DEAF_SHARE)) deaf.forEach { retire(it.id, "no answer reaches it") }
     }
 
-    private fun quietMs(machine: Machine) = now.steadyMs - (machine.lastHeardMs ?: startedMs)
+    private fun quietMs(machine: Machine) = now.steadyMs - maxOf(machine.lastHeardMs ?: 0, listeningSinceMs)
 
     private fun retire(id: MachineId, reason: String) {
         // What isn't settled yet has to fit into one value.
--- a/src/main/kotlin/cleathitch/http/Front.kt
+++ b/src/main/kotlin/cleathitch/http/Front.kt
@@ -16,12 +16,15 @@
     private val vertx: Vertx,
     private val scope: CoroutineScope,
     private val maxBody: Int,
+    /** A machine that is gone leaves its connection behind; without an end to idle ones they use up the sockets. */
+    private val idleS: Int,
     private val handle: suspend (method: String, path: String, body: ByteArray) -> HttpReply,
 ) {
     /** Starts listening and tells the port. */
     suspend fun listen(address: Address): Int {
         val options = HttpServerOptions().setHost(address.host).setPort(address.port).setTcpNoDelay(true)
             .setCompressionSupported(false).setDecompressionSupported(false).setAcceptBacklog(1024)
+            .setIdleTimeout(idleS)
         val server = vertx.createHttpServer(options).requestHandler(::receive)
             .invalidRequestHandler { it.response().setStatusCode(400).end() }
         return server.listen().coAwait().actualPort()
--- a/src/test/kotlin/cleathitch/core/GrownTest.kt
+++ b/src/test/kotlin/cleathitch/core/GrownTest.kt
@@ -33,17 +33,18 @@
         step(Command.Tick)
     }.flatten()
 
-    private fun machines(count: Int) {
-        step(Command.LeaseHeld(Long.MAX_VALUE / 2), Command.TypesListed(listOf(type)))
+    private fun machines(count: Int, heldUntilMs: Long = Long.MAX_VALUE / 2) {
+        step(Command.LeaseHeld(heldUntilMs), Command.TypesListed(listOf(type)))
         repeat(count) { i ->
-            val report = Report(
-                MachineId("vm-%06d".format(i)), "10.0.0.9:1", "m4", if (i % 2 == 0) "a" else "b", false, 1, 1,
-                OrderVersion.first(7), null, emptyList(),
-            )
-            step(Command.Reported(RequestId(++requests), report))
+            step(Command.Reported(RequestId(++requests), report(i)))
         }
     }
 
+    private fun report(machine: Int, seq: Long = 1, version: OrderVersion = OrderVersion.first(7), session: Long = 1) = Report(
+        MachineId("vm-%06d".format(machine)), "10.0.0.9:1", "m4", if (machine % 2 == 0) "a" else "b", false, session, seq,
+        version, null, emptyList(),
+    )
+
     private fun submit(jobs: Int, tasks: Int) = repeat(jobs) {
         step(Command.Submit(RequestId(++requests), World.job(requests.toInt(), tasks = tasks)))
     }
@@ -91,7 +92,8 @@
         assertEquals(begin + 1, commits.size, "an intake with budget left is written at once")
         val written = commits.size
         val startMs = nowMs
-        settle(rounds = 400)
+        submit(jobs = 300, tasks = 1)
+        settle(rounds = 40)
         val changes = commits.drop(written).sumOf { it.changes.size }
         assertTrue(changes <= deployment.stateWriteRps * (nowMs - startMs + 1000) / 1000) { "$changes changes" }
     }
@@ -100,15 +102,26 @@
     @Test
     fun `a machine gets tasks once it shows a version of this term, not before`() {
         step(Command.LeaseHeld(Long.MAX_VALUE / 2), Command.TypesListed(listOf(type)))
-        fun report(seq: Long, version: OrderVersion) =
-            Report(MachineId("vm-1"), "10.0.0.9:1", "m4", "a", false, 1, seq, version, null, emptyList())
-        step(Command.Reported(RequestId(++requests), report(1, OrderVersion.first(3))))
+        step(Command.Reported(RequestId(++requests), report(1, seq = 1, OrderVersion.first(3))))
         submit(jobs = 1, tasks = 1)
         assertTrue(settle(rounds = 4).none { it is Effect.Push })
-        step(Command.Reported(RequestId(++requests), report(2, OrderVersion.first(7))))
+        step(Command.Reported(RequestId(++requests), report(1, seq = 2, OrderVersion.first(7))))
         assertEquals(1, settle(rounds = 2).count { it is Effect.Push })
     }
 
+    /** Every machine's last answered report is then older than its lease; without [Engine]'s listening time all went back at once. */
+    @Test
+    fun `after a long outage of the state service no machine is returned for its silence`() {
+        machines(20, heldUntilMs = 1000)
+        settle(rounds = 4 * 60)
+        step(Command.LeaseHeld(Long.MAX_VALUE / 2))
+        repeat(20) { i ->
+            step(Command.Reported(RequestId(++requests), report(i, seq = 2, session = 2)))
+        }
+        val returned = settle(rounds = 4).filterIsInstance<Effect.Note>().filter { "is returned" in it.text && "idle" !in it.text }
+        assertEquals(emptyList<Effect>(), returned)
+    }
+
     /** Its reports would keep it in the fleet for ever, and what is placed there would never run. */
     @Test
     fun `a machine that shows none of our answers is given nothing more and returned`() {
@@ -120,11 +133,7 @@
             submit(jobs = 1, tasks = 1)
             for (i in 0 until 20) {
                 val version = if (i == 0) OrderVersion.first(7) else OrderVersion.first(revision + 1)
-                val report = Report(
-                    MachineId("vm-%06d".format(i)), "10.0.0.9:1", "m4", if (i % 2 == 0) "a" else "b", false, 1, seq,
-                    minOf(version, OrderVersion.first(revision)), null, emptyList(),
-                )
-                step(Command.Reported(RequestId(++requests), report))
+                step(Command.Reported(RequestId(++requests), report(i, seq, minOf(version, OrderVersion.first(revision)))))
             }
             returned += settle(rounds = 8).filterIsInstance<Effect.Return>().flatMap { it.machines }
         }
