Direct orders hold a tenth of a node's sockets at most

Change: direct connections aren't kept, and a tenth of the sockets is the most that are open at once. Tests: late copies don't revive a returned machine; a long outage returns none (its first form caught nothing).

--- a/src/main/kotlin/cleathitch/App.kt
+++ b/src/main/kotlin/cleathitch/App.kt
@@ -41,7 +41,7 @@
         val services = Services(
             deployment,
             tuning,
-            WorkerClient(vertx, timeoutMs = reportMs, probeMs = tuning.probeGapMs),
+            WorkerClient(vertx, timeoutMs = reportMs, probeMs = tuning.probeGapMs, atOnce = maxOf(1, settings.maxSockets / DIRECT_PART)),
             CloudClient(vertx, settings.cloud, CallBudget(deployment.cloudRps * (operator.cloudShare ?: CLOUD_SHARE), clocks::steadyMs), timeoutMs = reportMs * 2),
             clocks,
             meters,
@@ -75,6 +75,9 @@
 
         const val IDLE_REPORTS = 3
 
+        /** Direct orders and questions may hold one socket in so many; the rest is for who comes to us. */
+        const val DIRECT_PART = 10
+
         /** A user's or worker's message with what CBOR adds. */
         const val PEER_BODY = Wire.MAX_BODY + 4096
     }
--- a/src/main/kotlin/cleathitch/http/Caller.kt
+++ b/src/main/kotlin/cleathitch/http/Caller.kt
@@ -28,10 +28,10 @@
 class Answer(val status: Int, val body: ByteArray)
 
 /** HTTP calls that end in an answer or in null: no answer says nothing about what was carried out. */
-class Caller(vertx: Vertx, connections: Int, private val connectMs: Int = 1000, keepAliveS: Int = 60) {
+class Caller(vertx: Vertx, connections: Int, private val connectMs: Int = 1000, keepAlive: Boolean = true) {
     private val client: HttpClient = vertx.httpClientBuilder()
         .with(
-            HttpClientOptions().setKeepAlive(true).setKeepAliveTimeout(keepAliveS).setConnectTimeout(connectMs)
+            HttpClientOptions().setKeepAlive(keepAlive).setKeepAliveTimeout(60).setConnectTimeout(connectMs)
                 .setDecompressionSupported(false).setTcpNoDelay(true),
         )
         .with(PoolOptions().setHttp1MaxSize(connections))
--- a/src/main/kotlin/cleathitch/workers/WorkerClient.kt
+++ b/src/main/kotlin/cleathitch/workers/WorkerClient.kt
@@ -10,27 +10,31 @@
 import cleathitch.protocol.WorkerWire
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpMethod
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.sync.withPermit
 import org.slf4j.LoggerFactory
 
 /**
  * Sends orders directly where waiting for the next report would cost, and asks machines that skip reports.
- * Its connections are kept for a moment only: with one to each machine of a large fleet beside the one
- * each machine reports on, a node would run out of sockets.
+ * Its connections aren't kept, and only [atOnce] are open: with one to each machine of a large fleet
+ * beside the one each machine reports on, a node once ran out of sockets after a take-over, and so
+ * of ways to renew its lease. An order that waits too long is in the machine's next answer anyway.
  */
-class WorkerClient(vertx: Vertx, private val timeoutMs: Long, private val probeMs: Long) {
-    private val caller = Caller(vertx, connections = 2, keepAliveS = 2)
+class WorkerClient(vertx: Vertx, private val timeoutMs: Long, private val probeMs: Long, atOnce: Int) {
+    private val caller = Caller(vertx, connections = 2, keepAlive = false)
+    private val turns = Semaphore(atOnce)
 
     /** The machine's report after the orders, whether it carried them out or not; null if none came. */
     suspend fun push(push: Effect.Push): Report? {
         val address = Address.parse(push.addr) ?: return null
         val body = WorkerWire.direct(push.version, push.session, push.orders)
-        val answer = caller.call(address, HttpMethod.POST, "/do", body, timeoutMs) ?: return null
+        val answer = turns.withPermit { caller.call(address, HttpMethod.POST, "/do", body, timeoutMs) } ?: return null
         return if (answer.status == 200 || answer.status == 409) report(push.machine, answer) else null
     }
 
     suspend fun inspect(machine: MachineId, addr: String): Report? {
         val address = Address.parse(addr) ?: return null
-        val answer = caller.call(address, HttpMethod.GET, "/inspect", null, probeMs) ?: return null
+        val answer = turns.withPermit { caller.call(address, HttpMethod.GET, "/inspect", null, probeMs) } ?: return null
         return if (answer.status == 200) report(machine, answer) else null
     }
 
--- a/src/test/kotlin/cleathitch/core/GrownTest.kt
+++ b/src/test/kotlin/cleathitch/core/GrownTest.kt
@@ -109,17 +109,27 @@
         assertEquals(1, settle(rounds = 2).count { it is Effect.Push })
     }
 
-    /** Every machine's last answered report is then older than its lease; without [Engine]'s listening time all went back at once. */
+    /** Every machine's last answered report is then older than its lease; counted over the outage, all went back at once. */
     @Test
     fun `after a long outage of the state service no machine is returned for its silence`() {
         machines(20, heldUntilMs = 1000)
+        submit(jobs = 20, tasks = 2)
+        assertTrue(settle(rounds = 3).any { it is Effect.Push })
         settle(rounds = 4 * 60)
-        step(Command.LeaseHeld(Long.MAX_VALUE / 2))
-        repeat(20) { i ->
-            step(Command.Reported(RequestId(++requests), report(i, seq = 2, session = 2)))
-        }
-        val returned = settle(rounds = 4).filterIsInstance<Effect.Note>().filter { "is returned" in it.text && "idle" !in it.text }
-        assertEquals(emptyList<Effect>(), returned)
+        val after = step(Command.LeaseHeld(Long.MAX_VALUE / 2)) + settle(rounds = 2)
+        assertEquals(emptyList<Effect>(), after.filter { it is Effect.Note && "is returned" in it.text })
+    }
+
+    /** Nothing placed there would ever run, and nobody would know before the machine counted as silent. */
+    @Test
+    fun `a late copy of a report doesn't revive a machine that was returned`() {
+        machines(1)
+        val returned = settle(rounds = 4 * 70).filterIsInstance<Effect.Return>().first().machines
+        step(Command.Returned(returned))
+        val request = RequestId(++requests)
+        assertTrue(Effect.RefuseReport(request) in step(Command.Reported(request, report(0, seq = 9))))
+        submit(jobs = 1, tasks = 1)
+        assertTrue(settle(rounds = 4).none { it is Effect.Push })
     }
 
     /** Its reports would keep it in the fleet for ever, and what is placed there would never run. */
