A new leader asks the machines that the cloud lists, and calls none of them late

Cause (simulated): after a take-over free room lies idle until each machine's next report (up to 7.5 s), and a running machine that hadn't reported by then was returned as never come up, since its age was known from the list. What the list shows running is missed like others, from when it did.

--- a/src/main/kotlin/cleathitch/core/Engine.kt
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -148,7 +148,7 @@
             is Command.Poll -> poll(command)
             is Command.Abort -> abort(command)
             is Command.Reported -> reported(command)
-            is Command.Inspected -> observe(command.report)
+            is Command.Inspected -> inspected(command.report)
             is Command.LeaseHeld -> heldUntilMs = maxOf(heldUntilMs, command.untilMs)
             is Command.Committed -> committed(command)
             is Command.TypesListed -> typesListed(command.types)
@@ -356,6 +356,15 @@
         return true
     }
 
+    /** An answer to us, and so no late copy: the machine lives, and what it lacks can be sent at once. */
+    private fun inspected(report: Report) {
+        val first = fleet.machines[report.machine]?.lastHeardMs == null
+        if (!observe(report)) return
+        val machine = fleet.machines.getValue(report.machine)
+        machine.confirmed = true
+        if (first) push(machine)
+    }
+
     private fun leaseEndFromNow() = now.steadyMs + (deployment.leaseS * 1000).toLong() + tuning.leaseMarginMs
 
     private fun adopt(id: MachineId, offer: Offer, rentedAtMs: Long): Machine = fleet.adopt(id, offer, rentedAtMs).also {
@@ -537,12 +546,26 @@
         for (id in ledger.machinesInUse.toList()) {
             if (id !in fleet.machines && now.steadyMs >= inheritedLeaseEndMs) ledger.attemptsOn(id).toList().forEach(::over)
         }
+        if (leaseHeld() && now.steadyMs - startedMs < tuning.takeOverMs) askUnheard()
         if (!settled()) return
         findSilent()
         findDeaf()
         fleet.neverUp(now.steadyMs).forEach { retire(it.id, "it never came up") }
     }
 
+    /** After a take-over machines come by themselves only with their next reports; those that the cloud lists are asked. */
+    private fun askUnheard() {
+        fleet.machines.values.asSequence()
+            .filter { it.lastHeardMs == null && it.listedRunning && now.steadyMs - it.probedMs >= tuning.probeGapMs }
+            .take(MOST_PROBES).forEach(::probe)
+    }
+
+    private fun probe(machine: Machine) {
+        machine.probes++
+        machine.probedMs = now.steadyMs
+        machine.addr?.let { effects += Effect.Inspect(machine.id, it) }
+    }
+
     /**
      * A machine that skips a report is asked directly; one that doesn't answer that either is returned,
      * since the cloud's word that it is gone frees its tasks long before its lease ends.
@@ -554,13 +577,9 @@
         // Many at once: more likely we are the ones cut off, and then their leases decide.
         if (silent.size <= maxOf(1, up.size / 2)) silent.forEach { retire(it.id, "it is silent") }
         quiet.filter { it.state == MachineState.UP && now.steadyMs - it.probedMs >= tuning.probeGapMs }
-            .take(MOST_PROBES).forEach { machine ->
-                machine.probes++
-                machine.probedMs = now.steadyMs
-                machine.addr?.let { effects += Effect.Inspect(machine.id, it) }
-            }
+            .take(MOST_PROBES).forEach(::probe)
         // It answers, but its own reports reach nobody: its lease has run out, and nothing can run there.
-        up.filter { now.steadyMs - maxOf(it.lastReportMs ?: 0, listeningSinceMs) >= tuning.lostMs }.forEach {
+        up.filter { now.steadyMs - maxOf(it.lastReportMs ?: it.missedSinceMs, listeningSinceMs) >= tuning.lostMs }.forEach {
             if (it.state == MachineState.UP) retire(it.id, "its reports don't arrive")
         }
         if (now.steadyMs - startedMs >= tuning.lostMs) {
@@ -576,7 +595,7 @@
         if (deaf.size <= maxOf(1, fleet.machines.size / DEAF_SHARE)) deaf.forEach { retire(it.id, "no answer reaches it") }
     }
 
-    private fun quietMs(machine: Machine) = now.steadyMs - maxOf(machine.lastHeardMs ?: 0, listeningSinceMs)
+    private fun quietMs(machine: Machine) = now.steadyMs - maxOf(machine.lastHeardMs ?: machine.missedSinceMs, listeningSinceMs)
 
     private fun retire(id: MachineId, reason: String) {
         // What isn't settled yet has to fit into one value.
@@ -605,10 +624,12 @@
         val machine = fleet.machines[listed.machine] ?: adopt(
             listed.machine, listed.offer, now.steadyMs - (listed.ageS * 1000).toLong(),
         )
-        machine.listed = true
+        machine.listedRunning = listed.state == ListedState.RUNNING
         if (machine.addr == null) machine.addr = listed.addr
         // Tasks may run there though it never reported in this term: it can be missed like any other.
-        if (listed.state == ListedState.RUNNING && machine.state == MachineState.STARTING && ledger.attemptsOn(machine.id).isNotEmpty()) {
+        val missed = ledger.attemptsOn(machine.id).isNotEmpty() || now.steadyMs - startedMs >= tuning.lostMs
+        if (listed.state == ListedState.RUNNING && machine.state == MachineState.STARTING && missed) {
+            machine.missedSinceMs = now.steadyMs
             machine.state = MachineState.UP
         }
         if (listed.state == ListedState.FAILED && machine.state != MachineState.RETIRED && settled()) {
--- a/src/main/kotlin/cleathitch/core/Fleet.kt
+++ b/src/main/kotlin/cleathitch/core/Fleet.kt
@@ -43,7 +43,10 @@
     var reported: List<ReportedTask> = emptyList()
     var idleSinceMs: Long = rentedAtMs
     var faults = 0
-    var listed = false
+    var listedRunning = false
+
+    /** When the cloud's list, and not a report, told that it runs: it is missed from then on. */
+    var missedSinceMs = 0L
 
     /** Since when nothing more is to be placed here, as a refusal showed less room than reckoned. */
     var fullUntilMs = 0L
@@ -221,9 +224,9 @@
             nowMs - machine.idleSinceMs >= type.bootS * 1000 * IDLE_BOOTS
     }
 
-    /** Machines that should have come up long ago. */
+    /** Machines that should have come up long ago; one that runs and that a new leader hasn't heard yet is none of them. */
     fun neverUp(nowMs: Long): List<Machine> = machines.values.filter { machine ->
-        machine.state == MachineState.STARTING &&
+        machine.state == MachineState.STARTING && !machine.listedRunning &&
             nowMs - machine.rentedAtMs >= (machine.type?.bootS ?: deployment.leaseS) * 1000 * LATE_BOOTS
     }
 
--- a/src/test/kotlin/cleathitch/core/GrownTest.kt
+++ b/src/test/kotlin/cleathitch/core/GrownTest.kt
@@ -120,6 +120,18 @@
         assertEquals(emptyList<Effect>(), after.filter { it is Effect.Note && "is returned" in it.text })
     }
 
+    /** Otherwise its free room, and starts that its old leader didn't get through, wait for its next report. */
+    @Test
+    fun `after a take-over a machine that the cloud lists is asked, and its answer is enough`() {
+        step(Command.LeaseHeld(Long.MAX_VALUE / 2), Command.TypesListed(listOf(type)))
+        val seen = report(1, seq = 5, OrderVersion.first(3))
+        step(Command.MachinesListed(listOf(ListedMachine(seen.machine, seen.addr, Offer("m4", "b", false), ListedState.RUNNING, 100.0))))
+        assertTrue(Effect.Inspect(seen.machine, seen.addr) in settle(rounds = 4))
+        step(Command.Inspected(seen))
+        submit(jobs = 1, tasks = 1)
+        assertEquals(1, settle(rounds = 2).count { it is Effect.Push })
+    }
+
     /** Nothing placed there would ever run, and nobody would know before the machine counted as silent. */
     @Test
     fun `a late copy of a report doesn't revive a machine that was returned`() {
