--- a/src/main/kotlin/cleathitch/App.kt
+++ b/src/main/kotlin/cleathitch/App.kt
@@ -10,6 +10,7 @@
 import cleathitch.peers.PeerCodec
 import cleathitch.protocol.HttpReply
 import cleathitch.protocol.Wire
+import cleathitch.state.Leadership
 import cleathitch.state.StateClient
 import cleathitch.workers.WorkerClient
 import io.micrometer.core.instrument.MeterRegistry
@@ -27,7 +28,10 @@
 
 /** Puts a node together and runs it until the process is killed. */
 class App(private val settings: Settings, private val operator: OperatorSettings = OperatorSettings.DEFAULT) {
-    private val vertx = Vertx.vertx(VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1))
+    private val vertx = loop()
+
+    /** Keeps the leader's lease, whatever there is to do on the other loop. */
+    private val leaseLoop = loop()
     private val scope = CoroutineScope(vertx.dispatcher() + SupervisorJob())
     private val meters: MeterRegistry = SimpleMeterRegistry()
 
@@ -46,16 +50,23 @@
             clocks,
             meters,
         )
-        val state = StateClient(vertx, settings.state, timeoutMs = tuning.leaderLeaseMs / 3)
-        val node = Node(settings, services, state, PeerClient(vertx), scope, UUID.randomUUID().toString())
+        val stateMs = tuning.leaderLeaseMs / 3
+        val leadership = Leadership(
+            StateClient(leaseLoop, settings.state, stateMs), settings.member, UUID.randomUUID().toString(), tuning.leaderLeaseMs,
+            Node.LEADER_KEY, clocks::steadyMs,
+        )
+        val leaseScope = CoroutineScope(leaseLoop.dispatcher() + SupervisorJob())
+        val node = Node(settings, services, StateClient(vertx, settings.state, stateMs), leadership, leaseScope, PeerClient(vertx), scope)
         scope.launch {
-            Front(vertx, scope, Wire.MAX_BODY, idleS, node::front).listen(settings.bind)
             Front(vertx, scope, PEER_BODY, idleS) { method, path, body -> internal(node, method, path, body) }.listen(settings.internalAddr)
+            node.start()
+            Front(vertx, scope, Wire.MAX_BODY, idleS, node::front).listen(settings.bind)
             log.info("node {} listens on {} and {}", settings.member, settings.bind, settings.internalAddr)
-            node.run()
         }
     }
 
+    private fun loop() = Vertx.vertx(VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1).setInternalBlockingPoolSize(1))
+
     private suspend fun internal(node: Node, method: String, path: String, body: ByteArray): HttpReply = when {
         path == PeerClient.PATH && method == "POST" -> try {
             HttpReply(200, PeerCodec.encode(node.peer(PeerCodec.decodeRequest(body))))
--- a/src/main/kotlin/cleathitch/LeaderTerm.kt
+++ b/src/main/kotlin/cleathitch/LeaderTerm.kt
@@ -14,9 +14,9 @@
 import cleathitch.core.NoteLevel
 import cleathitch.core.Report
 import cleathitch.core.RequestId
-import cleathitch.core.Term
 import cleathitch.core.Tuning
 import cleathitch.core.UserReply
+import cleathitch.state.Lease
 import cleathitch.state.Store
 import cleathitch.state.StoredCodec
 import cleathitch.workers.WorkerClient
@@ -52,10 +52,9 @@
  * wants done. Only [run] touches the engine.
  */
 class LeaderTerm(
-    val term: Term,
+    val lease: Lease,
     private val services: Services,
     private val store: Store,
-    heldUntilMs: Long,
     private val knownTypes: List<MachineType>,
     private val imagesTold: Map<MachineId, HeldImages>,
     private val tellImages: (Map<MachineId, HeldImages>) -> Unit,
@@ -66,17 +65,11 @@
     private val reports = HashMap<RequestId, CompletableDeferred<Effect.AnswerReport?>>()
     private var requests = 0L
 
+    val term get() = lease.term
     val sinceMs = services.clocks.steadyMs()
-    var heldUntilMs = heldUntilMs
-        private set
     var ready = false
         private set
 
-    fun renewed(untilMs: Long) {
-        heldUntilMs = untilMs
-        commands.trySend(Command.LeaseHeld(untilMs))
-    }
-
     suspend fun submit(spec: JobSpec) = askUser { Command.Submit(it, spec) }
     suspend fun poll(job: JobId) = askUser { Command.Poll(it, job) }
     suspend fun abort(job: JobId) = askUser { Command.Abort(it, job) }
@@ -111,16 +104,17 @@
         reports.values.toList().forEach { it.complete(null) }
     }
 
-    suspend fun run() = coroutineScope {
+    /** Replays what is recorded, says when it is [done], and leads until it is cancelled. */
+    suspend fun run(done: () -> Unit) = coroutineScope {
         val begun = services.clocks.steadyMs()
         val snapshot = store.load()
         val engine = Engine(
             services.deployment, services.tuning, term, snapshot, services.clocks.moment(), StoredCodec,
         )
-        commands.trySend(Command.LeaseHeld(heldUntilMs))
         if (knownTypes.isNotEmpty()) commands.trySend(Command.TypesListed(knownTypes))
         commands.trySend(Command.ImagesTold(imagesTold))
         ready = true
+        done()
         log.info(
             "term {}: leading after {} ms of replay; {} jobs open, {} records",
             term.revision, services.clocks.steadyMs() - begun, engine.openJobs, snapshot.records.size,
@@ -133,7 +127,10 @@
         val batch = ArrayList<Command>()
         while (true) {
             batch.clear()
-            batch += commands.receive()
+            val next = commands.receive()
+            lease.worked(services.clocks.steadyMs())
+            batch += Command.LeaseHeld(lease.heldUntilMs)
+            batch += next
             while (true) batch += commands.tryReceive().getOrNull() ?: break
             val started = System.nanoTime()
             val effects = engine.handle(batch, services.clocks.moment())
@@ -147,7 +144,7 @@
         when (effect) {
             // Decided before a standstill of this process, it must not leave after it: others may lead by now.
             is Effect.Answer -> users[effect.request]?.complete(
-                if (services.clocks.steadyMs() < heldUntilMs) effect.reply else UserReply.NotNow("no lease"),
+                if (services.clocks.steadyMs() < lease.heldUntilMs) effect.reply else UserReply.NotNow("no lease"),
             )
             is Effect.AnswerReport -> reports[effect.request]?.complete(effect)
             is Effect.RefuseReport -> reports[effect.request]?.complete(null)
--- a/src/main/kotlin/cleathitch/Node.kt
+++ b/src/main/kotlin/cleathitch/Node.kt
@@ -16,13 +16,16 @@
 import cleathitch.protocol.UserWire
 import cleathitch.protocol.WorkerWire
 import cleathitch.state.Leadership
+import cleathitch.state.Lease
 import cleathitch.state.LeadershipListener
 import cleathitch.state.StateClient
 import cleathitch.state.Store
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 
 /**
@@ -33,15 +36,13 @@
     private val settings: Settings,
     private val services: Services,
     private val state: StateClient,
+    private val leadership: Leadership,
+    private val leaseScope: CoroutineScope,
     private val peers: PeerClient,
     private val scope: CoroutineScope,
-    incarnation: String,
 ) : LeadershipListener {
     private val clocks = services.clocks
     private val reportMs = (settings.deployment.reportS * 1000).toLong()
-    private val leadership = Leadership(
-        state, settings.member, incarnation, services.tuning.leaderLeaseMs, LEADER_KEY, this, clocks::steadyMs,
-    )
     private val leaseMs = services.tuning.leaderLeaseMs
 
     /** When each peer last answered us as leader. */
@@ -53,6 +54,7 @@
     private var leader: String? = null
     private var leaderTerm = 0L
     private var leaderHeardMs: Long? = null
+    private val leaderFound = CompletableDeferred<Unit>()
     private var types: List<MachineType> = emptyList()
     private val imagesTold = HashMap<MachineId, HeldImages>()
     private val redirects = HashMap<MachineId, Redirect>()
@@ -60,10 +62,13 @@
     /** To which leader a worker was sent, and when. */
     private class Redirect(val leader: String, val atMs: Long)
 
-    suspend fun run() {
+    /** Takes part in the election, and returns once there is a leader, or there seems to be none soon. */
+    suspend fun start() {
         scope.launch { learnTypes() }
         scope.launch { tellPeers() }
-        leadership.run()
+        leaseScope.launch { leadership.run(this@Node) }
+        // Until there is someone to send them to, users and workers only keep us from finding that out.
+        withTimeoutOrNull(leaseMs * FIRST_LEASES) { leaderFound.await() }
     }
 
     private suspend fun learnTypes() {
@@ -75,22 +80,24 @@
 
     // ---- leadership
 
-    override fun elected(term: Term, heldUntilMs: Long) {
+    // The lease has a loop of its own; what follows from it happens on ours.
+    override fun elected(lease: Lease) = post { lead(lease) }
+    override fun deposed(lease: Lease, reason: String) = post { depose(lease.term, reason) }
+    override fun leaderIs(member: String?, term: Long) = post { follow(member, term) }
+
+    private fun post(action: () -> Unit) {
+        scope.launch { action() }
+    }
+
+    private fun lead(lease: Lease) {
+        val term = lease.term
         log.info("term {}: elected", term.revision)
         val store = Store(state, PREFIX, LEADER_KEY, term)
-        val mine = LeaderTerm(term, services, store, heldUntilMs, types, HashMap(imagesTold), ::tellImages) { depose(term, it.reason, it.handOver) }
+        val mine = LeaderTerm(lease, services, store, types, HashMap(imagesTold), ::tellImages) { depose(term, it.reason, it.handOver) }
         leading = mine
         leader = settings.member
         leaderTerm = term.revision
-        leadingJob = scope.launch { mine.run() }
-    }
-
-    override fun renewed(heldUntilMs: Long) {
-        leading?.renewed(heldUntilMs)
-    }
-
-    override fun deposed(reason: String) {
-        leading?.let { depose(it.term, reason) }
+        leadingJob = scope.launch { mine.run { leaderFound.complete(Unit) } }
     }
 
     private fun depose(term: Term, reason: String, handOver: Boolean = false) {
@@ -101,10 +108,10 @@
         if (leader == settings.member) leader = null
         leadingJob?.cancel()
         mine.end()
-        leadership.resign(reason, handOver)
+        mine.lease.resign(reason, handOver)
     }
 
-    override fun leaderIs(member: String?, term: Long) {
+    private fun follow(member: String?, term: Long) {
         if (leading != null || term < leaderTerm) return
         if (member != leader) {
             log.info("leader: {}", member ?: "none")
@@ -113,6 +120,7 @@
         }
         leader = member
         leaderTerm = term
+        if (member != null) leaderFound.complete(Unit)
     }
 
     /** The leader tells its peers every third of a lease, so that they know it even without the state service. */
@@ -164,7 +172,7 @@
         leading?.let { mine ->
             if (!mine.ready) return now - mine.sinceMs < leaseMs
             val peersHeard = peerHeardMs.values.count { now - it < leaseMs }
-            return now < mine.heldUntilMs + leaseMs || peersHeard * 2 >= settings.peers.size
+            return now < mine.lease.heldUntilMs + leaseMs || peersHeard * 2 >= settings.peers.size
         }
         val silentMs = now - (leaderHeardMs ?: return false)
         // A dead leader's key goes with its lease. While it stands, we are cut off from a living leader.
@@ -267,22 +275,25 @@
         }
     }
 
-    private companion object {
-        val log = LoggerFactory.getLogger("cleathitch.node")
-        const val PREFIX = "cleathitch/"
+    companion object {
         const val LEADER_KEY = "leader/cleathitch"
+        private val log = LoggerFactory.getLogger("cleathitch.node")
+        private const val PREFIX = "cleathitch/"
+
+        /** For so many leases a node that starts looks for a leader before it listens. */
+        private const val FIRST_LEASES = 4
 
         /** Under what users wait for a poll's answer. */
-        const val FORWARD_MS = 1800L
+        private const val FORWARD_MS = 1800L
 
         /** A worker that comes back within so many report periods couldn't reach the leader; after that it tries again. */
-        const val RELAY_REPORTS = 5
+        private const val RELAY_REPORTS = 5
 
         /** An election takes one lease, its replay, and the leader's first word to its peers. */
-        const val ELECTION_LEASES = 3
+        private const val ELECTION_LEASES = 3
 
         /** Machines come and go; what was told of the present ones comes again soon. */
-        const val MOST_IMAGES_TOLD = 10_000
-        const val MOST_REDIRECTED = 100_000
+        private const val MOST_IMAGES_TOLD = 10_000
+        private const val MOST_REDIRECTED = 100_000
     }
 }
--- a/src/main/kotlin/cleathitch/core/Engine.kt
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -584,7 +584,8 @@
      */
     private fun handOverIfCutOff() {
         val direct = lastDirectMs ?: return // whoever never heard one in its term has nothing to compare with
-        if (relayed < FEW_RELAYED || now.steadyMs - direct < tuning.probeGapMs * 2) return
+        // By then each machine that can reach us has reported.
+        if (relayed < FEW_RELAYED || now.steadyMs - direct < tuning.probeMs) return
         stepDown("machines reach others, but not us", handOver = true)
     }
 
--- a/src/main/kotlin/cleathitch/state/Leadership.kt
+++ b/src/main/kotlin/cleathitch/state/Leadership.kt
@@ -10,19 +10,49 @@
 import kotlinx.coroutines.delay
 import org.slf4j.LoggerFactory
 
-/** Told what becomes of the leadership. */
+/** Told what becomes of the leadership, on the loop that keeps the lease. */
 interface LeadershipListener {
-    /** We lead; the lease is surely held until [heldUntilMs]. */
-    fun elected(term: Term, heldUntilMs: Long)
-    fun renewed(heldUntilMs: Long)
-    fun deposed(reason: String)
+    /** We lead for as long as the lease says. */
+    fun elected(lease: Lease)
+    fun deposed(lease: Lease, reason: String)
 
     /** Who leads, and in which term; with nobody, the newest revision known. */
     fun leaderIs(member: String?, term: Long)
 }
 
 /**
- * Holds the leader's key under a lease while it can, and watches it otherwise.
+ * One term's lease, as both loops see it: kept on a loop of its own, used and given up where the work is done.
+ */
+class Lease(val term: Term, heldUntilMs: Long, workedMs: Long) {
+    /** Until then it is surely held. */
+    @Volatile
+    var heldUntilMs = heldUntilMs
+        internal set
+
+    /** When the leader's own loop last showed that it gets on. */
+    @Volatile
+    var workedMs = workedMs
+        private set
+
+    @Volatile
+    internal var resignation: Resignation? = null
+        private set
+
+    internal class Resignation(val reason: String, val handOver: Boolean)
+
+    fun worked(nowMs: Long) {
+        workedMs = nowMs
+    }
+
+    /** Gives the leadership up, for instance because a newer leader was seen; a [handOver] lets others go first. */
+    fun resign(reason: String, handOver: Boolean) {
+        resignation = Resignation(reason, handOver)
+    }
+}
+
+/**
+ * Holds the leader's key under a lease while it can, and watches it otherwise. It runs on a loop of its own:
+ * behind the reports of a large fleet, a leader whose code was still cold lost its lease again and again.
  *
  * Times are by the steady clock, and a lease is reckoned from before the request that renewed it was
  * sent, less what two clocks may drift apart: what is held here is surely held there.
@@ -33,20 +63,11 @@
     private val incarnation: String,
     private val ttlMs: Long,
     private val leaderKey: String,
-    private val listener: LeadershipListener,
     private val steadyMs: () -> Long,
 ) {
-    @Volatile
-    private var resignation: String? = null
     private var holdBackUntilMs = 0L
 
-    /** Gives the leadership up, for instance because a newer leader was seen; a [handOver] lets others go first. */
-    fun resign(reason: String, handOver: Boolean = false) {
-        resignation = reason
-        if (handOver) holdBackUntilMs = steadyMs() + ttlMs * HAND_OVER_LEASES
-    }
-
-    suspend fun run(): Nothing {
+    suspend fun run(listener: LeadershipListener): Nothing {
         while (true) {
             val page = state.list(leaderKey, null)
             if (page == null) {
@@ -56,7 +77,7 @@
             val entry = page.entries.firstOrNull { it.key == leaderKey }
             if (entry == null) {
                 listener.leaderIs(null, page.revision)
-                if (steadyMs() < holdBackUntilMs) delay(ttlMs / 8) else compete()
+                if (steadyMs() < holdBackUntilMs) delay(ttlMs / 8) else compete(listener)
                 continue
             }
             val holder = Holder.of(entry)
@@ -65,7 +86,7 @@
                     // Won by a transaction whose answer was lost. What is left of its lease isn't known, and after
                     // a standstill it may be nothing: it counts from a renewal, not from this look.
                     val sent = steadyMs()
-                    if (state.extend(holder.lease) == Renewal.Held) lead(Term(entry.revision), holder.lease, sent) else delay(ttlMs / 8)
+                    if (state.extend(holder.lease) == Renewal.Held) lead(listener, Term(entry.revision), holder.lease, sent) else delay(ttlMs / 8)
                 }
                 holder?.member == member -> {
                     // The process that held it is gone, since we are its successor: no need to wait for the lease's end.
@@ -80,7 +101,7 @@
         }
     }
 
-    private suspend fun compete() {
+    private suspend fun compete(listener: LeadershipListener) {
         val asked = steadyMs()
         val lease = state.hold(ttlMs)
         if (lease == null) {
@@ -89,36 +110,34 @@
         }
         val value = Wire.newMap().put("member", member).put("incarnation", incarnation).put("lease", lease)
         when (val result = state.transaction(mapOf(leaderKey to 0L), listOf(StateWire.Write.Put(leaderKey, value, lease)))) {
-            is Txn.Done -> lead(Term(result.revision), lease, asked)
+            is Txn.Done -> lead(listener, Term(result.revision), lease, asked)
             is Txn.Refused, Txn.NoLease -> state.release(lease)
             Txn.Unavailable, Txn.Unknown -> delay(ttlMs / 8) // the next look shows whether we have it
         }
     }
 
-    private suspend fun lead(term: Term, lease: Long, renewedMs: Long) {
-        resignation = null
-        var renewed = renewedMs
-        listener.elected(term, heldUntil(renewed))
+    private suspend fun lead(listener: LeadershipListener, term: Term, hold: Long, renewedMs: Long) {
+        val lease = Lease(term, heldUntil(renewedMs), steadyMs())
+        listener.elected(lease)
         while (true) {
             delay(ttlMs / RENEWALS_PER_LEASE)
-            var reason = resignation
-            if (reason == null) {
-                val sent = steadyMs()
-                when (state.extend(lease)) {
-                    Renewal.Held -> {
-                        renewed = sent
-                        listener.renewed(heldUntil(renewed))
-                    }
-                    Renewal.Gone -> reason = "the lease ran out"
-                    Renewal.Unknown -> if (steadyMs() > heldUntil(renewed)) log.info("term {}: the lease may have run out", term.revision)
-                }
-            }
-            reason = reason ?: resignation
-            if (reason != null) {
-                listener.deposed(reason)
-                state.release(lease)
+            val resignation = lease.resignation
+            if (resignation != null) {
+                if (resignation.handOver) holdBackUntilMs = steadyMs() + ttlMs * HAND_OVER_LEASES
+                listener.deposed(lease, resignation.reason)
+                state.release(hold)
                 return
             }
+            if (steadyMs() - lease.workedMs > ttlMs * STUCK_LEASES) {
+                // Not released: whoever does the work may be in the middle of an answer, and goes by the clock.
+                return listener.deposed(lease, "nothing gets on here")
+            }
+            val sent = steadyMs()
+            when (state.extend(hold)) {
+                Renewal.Held -> lease.heldUntilMs = heldUntil(sent)
+                Renewal.Gone -> return listener.deposed(lease, "the lease ran out")
+                Renewal.Unknown -> if (steadyMs() > lease.heldUntilMs) log.info("term {}: the lease may have run out", term.revision)
+            }
         }
     }
 
@@ -141,6 +160,9 @@
         /** An election takes far less; if nobody else has won it by then, we may lead again. */
         const val HAND_OVER_LEASES = 4
 
+        /** A leader whose own loop stands still for as long gives up, though its lease could be kept. */
+        const val STUCK_LEASES = 4
+
         /** How long a watch hangs, in leases. */
         const val WATCH_LEASES = 4L
     }
