Connections are bounded by the socket limit; a node that can't serve ends users' connections

Past its share a node ends each connection with its answer, past the most it closes new ones at once; direct orders, peers, state service and cloud keep theirs. A follower without a way to the leader ends the user's connection with its 503, so that the load balancer chooses again.

--- a/src/main/kotlin/cleathitch/App.kt
+++ b/src/main/kotlin/cleathitch/App.kt
@@ -5,6 +5,7 @@
 import cleathitch.config.OperatorSettings
 import cleathitch.config.Settings
 import cleathitch.core.Tuning
+import cleathitch.http.Connections
 import cleathitch.http.Front
 import cleathitch.peers.PeerClient
 import cleathitch.peers.PeerCodec
@@ -42,10 +43,11 @@
         // Workers report and users poll well within that.
         val idleS = ceil(deployment.reportS * IDLE_REPORTS).toInt()
         val tuning = Tuning.of(deployment, operator.trimS)
+        val direct = maxOf(1, settings.maxSockets / DIRECT_PART)
         val services = Services(
             deployment,
             tuning,
-            WorkerClient(vertx, timeoutMs = reportMs, probeMs = tuning.probeGapMs, atOnce = maxOf(1, settings.maxSockets / DIRECT_PART)),
+            WorkerClient(vertx, timeoutMs = reportMs, probeMs = tuning.probeGapMs, atOnce = direct),
             CloudClient(vertx, settings.cloud, CallBudget(deployment.cloudRps * (operator.cloudShare ?: CLOUD_SHARE), clocks::steadyMs), timeoutMs = reportMs * 2),
             clocks,
             meters,
@@ -57,10 +59,14 @@
         )
         val leaseScope = CoroutineScope(leaseLoop.dispatcher() + SupervisorJob())
         val node = Node(settings, services, StateClient(vertx, settings.state, stateMs), leadership, leaseScope, PeerClient(vertx), scope)
+        val peerSockets = settings.peers.size * PeerClient.CONNECTIONS
+        val ours = direct + peerSockets + OTHER_SOCKETS
+        val internalRoom = Connections(peerSockets + OTHER_SOCKETS)
+        val room = Connections(maxOf(settings.maxSockets / 2, settings.maxSockets - ours - internalRoom.most))
         scope.launch {
-            Front(vertx, scope, PEER_BODY, idleS) { method, path, body -> internal(node, method, path, body) }.listen(settings.internalAddr)
+            Front(vertx, scope, PEER_BODY, idleS, internalRoom) { method, path, body -> internal(node, method, path, body) }.listen(settings.internalAddr)
             node.start()
-            Front(vertx, scope, Wire.MAX_BODY, idleS, node::front).listen(settings.bind)
+            Front(vertx, scope, Wire.MAX_BODY, idleS, room, node::front).listen(settings.bind)
             log.info("node {} listens on {} and {}", settings.member, settings.bind, settings.internalAddr)
         }
     }
@@ -89,6 +95,9 @@
         /** Direct orders and questions may hold one socket in so many; the rest is for who comes to us. */
         const val DIRECT_PART = 10
 
+        /** State service (work, lease and their watches) and cloud hold some 16; twice that is left for them, listeners and metrics. */
+        const val OTHER_SOCKETS = 32
+
         /** A user's or worker's message with what CBOR adds. */
         const val PEER_BODY = Wire.MAX_BODY + 4096
     }
--- a/src/main/kotlin/cleathitch/Node.kt
+++ b/src/main/kotlin/cleathitch/Node.kt
@@ -191,7 +191,7 @@
             val reply = peers.ask(address, PeerRequest.User(method, path, body), FORWARD_MS)
             if (reply != null) return HttpReply(reply.status, reply.body, reply.retryAfterS)
         }
-        return UserWire.reply(UserReply.NotNow("no leader"))
+        return UserWire.elsewhere("no way to the leader")
     }
 
     private fun isUserPath(path: String): Boolean {
--- a/src/main/kotlin/cleathitch/cli/Rehearsal.kt
+++ b/src/main/kotlin/cleathitch/cli/Rehearsal.kt
@@ -4,6 +4,7 @@
 import cleathitch.config.Settings
 import cleathitch.http.Address
 import cleathitch.http.Caller
+import cleathitch.http.Connections
 import cleathitch.http.Front
 import cleathitch.protocol.HttpReply
 import cleathitch.protocol.Wire
@@ -34,7 +35,7 @@
     override fun run() {
         val scope = CoroutineScope(vertx.dispatcher() + SupervisorJob())
         scope.launch {
-            val platform = Front(vertx, scope, Wire.MAX_BODY, idleS = 60) { method, path, _ -> platform(method, path) }
+            val platform = Front(vertx, scope, Wire.MAX_BODY, idleS = 60, Connections(most = 100)) { method, path, _ -> platform(method, path) }
                 .listen(Address("127.0.0.1", 0))
             val (bind, internal) = List(2) { ServerSocket(0) }.onEach { it.close() }.map { it.localPort }
             val file = Files.createTempFile("cleathitch", ".json")
--- a/src/main/kotlin/cleathitch/http/Front.kt
+++ b/src/main/kotlin/cleathitch/http/Front.kt
@@ -11,6 +11,36 @@
 import kotlinx.coroutines.launch
 import org.slf4j.LoggerFactory
 
+/**
+ * How many connections a server may hold, so that a node keeps sockets for what it opens itself: at the limit
+ * of its sockets it once had no way left to the state service.
+ *
+ * Past [kept] each answer ends its connection, so those who come again make room for each other; past [most]
+ * a new one is closed at once, and whoever it was tries another node.
+ */
+class Connections(val most: Int) {
+    private val kept = most - most / SPARE_PART
+    var open = 0
+        private set
+
+    val crowded get() = open > kept
+
+    /** False if there is no room for one more. */
+    fun opened(): Boolean {
+        open++
+        return open <= most
+    }
+
+    fun closed() {
+        open--
+    }
+
+    private companion object {
+        /** One in so many is left for those who come while all kept ones are in use. */
+        const val SPARE_PART = 20
+    }
+}
+
 /** One HTTP server that hands whole requests to a handler. */
 class Front(
     private val vertx: Vertx,
@@ -18,6 +48,7 @@
     private val maxBody: Int,
     /** A machine that is gone leaves its connection behind; without an end to idle ones they use up the sockets. */
     private val idleS: Int,
+    private val room: Connections,
     private val handle: suspend (method: String, path: String, body: ByteArray) -> HttpReply,
 ) {
     /** Starts listening and tells the port. */
@@ -25,7 +56,13 @@
         val options = HttpServerOptions().setHost(address.host).setPort(address.port).setTcpNoDelay(true)
             .setCompressionSupported(false).setDecompressionSupported(false).setAcceptBacklog(1024)
             .setIdleTimeout(idleS)
-        val server = vertx.createHttpServer(options).requestHandler(::receive)
+            // Nobody here speaks HTTP/2 or WebSocket. With the first, a connection would count only from its first byte.
+            .setHttp2ClearTextEnabled(false)
+            .setPerFrameWebSocketCompressionSupported(false).setPerMessageWebSocketCompressionSupported(false)
+        val server = vertx.createHttpServer(options).requestHandler(::receive).connectionHandler { connection ->
+            connection.closeHandler { room.closed() }
+            if (!room.opened()) connection.close()
+        }
             .invalidRequestHandler { it.response().setStatusCode(400).end() }
         return server.listen().coAwait().actualPort()
     }
@@ -39,8 +76,7 @@
             if (body.length() + chunk.length() > maxBody) {
                 refused = true
                 // What follows isn't read: the connection can't be used again.
-                request.response().setStatusCode(400).putHeader("Connection", "close").end()
-                    .onComplete { request.connection().close() }
+                respond(request, HttpReply(400, last = true))
                 return@handler
             }
             body.appendBuffer(chunk)
@@ -66,7 +102,10 @@
         if (response.closed() || response.ended()) return
         response.setStatusCode(reply.status)
         reply.retryAfterS?.let { response.putHeader("Retry-After", it.toString()) }
-        if (reply.body != null) response.end(Buffer.buffer(reply.body)) else response.end()
+        val last = reply.last || room.crowded
+        if (last) response.putHeader("Connection", "close")
+        val sent = if (reply.body != null) response.end(Buffer.buffer(reply.body)) else response.end()
+        if (last) sent.onComplete { request.connection().close() }
     }
 
     private companion object {
--- a/src/main/kotlin/cleathitch/peers/PeerClient.kt
+++ b/src/main/kotlin/cleathitch/peers/PeerClient.kt
@@ -9,7 +9,7 @@
 
 /** Asks other nodes; null is no answer. */
 class PeerClient(vertx: Vertx) {
-    private val caller = Caller(vertx, connections = 16, connectMs = 500)
+    private val caller = Caller(vertx, connections = CONNECTIONS, connectMs = 500)
 
     suspend fun ask(peer: Address, request: PeerRequest, timeoutMs: Long): PeerReply? {
         val answer = caller.call(peer, HttpMethod.POST, PATH, PeerCodec.encode(request), timeoutMs) ?: return null
@@ -24,6 +24,9 @@
 
     companion object {
         const val PATH = "/peer"
+
+        /** To each peer: one request in flight on each, and an answer takes a few milliseconds. */
+        const val CONNECTIONS = 16
         private val log = LoggerFactory.getLogger("cleathitch.peers")
     }
 }
--- a/src/main/kotlin/cleathitch/protocol/UserWire.kt
+++ b/src/main/kotlin/cleathitch/protocol/UserWire.kt
@@ -8,8 +8,8 @@
 import cleathitch.core.UserReply
 import com.fasterxml.jackson.databind.JsonNode
 
-/** An answer to a user, ready to be sent by any node. */
-class HttpReply(val status: Int, val body: ByteArray? = null, val retryAfterS: Int? = null)
+/** An answer to a user, ready to be sent by any node; with the [last] one its connection ends. */
+class HttpReply(val status: Int, val body: ByteArray? = null, val retryAfterS: Int? = null, val last: Boolean = false)
 
 /** What users send and get. */
 object UserWire {
@@ -80,6 +80,9 @@
         is UserReply.NotNow -> HttpReply(503, error(reply.reason), reply.retryAfterS)
     }
 
+    /** Another node may serve: on a new connection the load balancer chooses again, open ones it never moves. */
+    fun elsewhere(reason: String) = HttpReply(503, error(reason), UserReply.NotNow(reason).retryAfterS, last = true)
+
     fun error(text: String): ByteArray = Wire.encode(Wire.newMap().put("error", text))
 
     private fun state(job: JobId, state: ShownState): ByteArray =
--- /dev/null
+++ b/src/test/kotlin/cleathitch/http/FrontTest.kt
@@ -0,0 +1,86 @@
+package cleathitch.http
+
+import cleathitch.protocol.HttpReply
+import io.vertx.core.Vertx
+import io.vertx.kotlin.coroutines.dispatcher
+import java.io.IOException
+import java.net.Socket
+import java.net.SocketTimeoutException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** A real server on loopback, at the limit of its connections. */
+class FrontTest {
+    private val vertx = Vertx.vertx()
+    private val most = 40
+    private val room = Connections(most)
+    private val port = runBlocking {
+        Front(vertx, CoroutineScope(vertx.dispatcher()), maxBody = 1024, idleS = 60, room) { _, path, _ ->
+            HttpReply(if (path == "/") 200 else 503, last = path == "/elsewhere")
+        }.listen(Address("127.0.0.1", 0))
+    }
+    private val sockets = ArrayList<Socket>()
+
+    @AfterEach
+    fun close() {
+        sockets.forEach { it.close() }
+        vertx.close()
+    }
+
+    private fun open() = Socket("127.0.0.1", port).also {
+        it.soTimeout = 5000
+        sockets += it
+    }
+
+    /** The answer's head, or null if the server closed the connection without one. */
+    private fun Socket.ask(path: String = "/"): String? {
+        val head = StringBuilder()
+        try {
+            getOutputStream().write("GET $path HTTP/1.1\r\nHost: x\r\n\r\n".toByteArray())
+            while (!head.endsWith("\r\n\r\n")) {
+                val next = getInputStream().read()
+                if (next < 0) return null
+                head.append(next.toChar())
+            }
+        } catch (_: IOException) {
+            return null
+        }
+        return head.toString().lowercase()
+    }
+
+    private fun Socket.ended() = try {
+        getInputStream().read() < 0
+    } catch (_: SocketTimeoutException) {
+        false
+    } catch (_: IOException) {
+        true
+    }
+
+    /** Kept connections of a whole fleet once took every socket, and with them the way to the state service. */
+    @Test
+    fun `past its share each answer ends its connection, and past the most nobody gets in`() {
+        val kept = List(most - most / 20) { open() }
+        kept.forEach { assertTrue("connection: close" !in it.ask()!!) }
+        val late = List(most - kept.size) { open() }
+        // The late ones are in, but nobody after them.
+        late.last().ask().let { assertTrue("connection: close" in it!!) }
+        assertTrue(late.last().ended())
+        val next = List(20) { open() }.count { it.ask() != null }
+        assertTrue(next <= most - kept.size) { "$next more were served" }
+        assertTrue(room.open <= most + 20)
+    }
+
+    /** Open connections are never moved: without an end to it, a user stays with a node that can't serve. */
+    @Test
+    fun `a node that can't serve ends the user's connection with its answer`() {
+        val socket = open()
+        assertTrue("connection: close" !in socket.ask("/")!!)
+        val answer = socket.ask("/elsewhere")!!
+        assertEquals(true, answer.startsWith("http/1.1 503") && "connection: close" in answer)
+        assertTrue(socket.ended())
+    }
+}
