Reports that need no look get none after an election; slow leaders stay ready's reason

Cause: while no leader is known each worker asks some node once a second, and each cold node decoded every one of those reports before it refused it; followers of a slow new leader called themselves unready after 1.25 leases, and the load balancer's pauses double with each removal.

--- a/src/main/kotlin/cleathitch/Node.kt
+++ b/src/main/kotlin/cleathitch/Node.kt
@@ -53,6 +53,7 @@
     private var leadingJob: Job? = null
     private var leader: String? = null
     private var leaderTerm = 0L
+    private var leaderSinceMs = 0L
     private var leaderHeardMs: Long? = null
     private val leaderFound = CompletableDeferred<Unit>()
     private var types: List<MachineType> = emptyList()
@@ -116,7 +117,10 @@
         if (member != leader) {
             log.info("leader: {}", member ?: "none")
             // A new leader gets the time of its replay to make itself heard.
-            if (member != null) leaderHeardMs = clocks.steadyMs()
+            if (member != null) {
+                leaderSinceMs = clocks.steadyMs()
+                leaderHeardMs = leaderSinceMs
+            }
         }
         leader = member
         leaderTerm = term
@@ -175,8 +179,8 @@
             return now < mine.lease.heldUntilMs + leaseMs || peersHeard * 2 >= settings.peers.size
         }
         val silentMs = now - (leaderHeardMs ?: return false)
-        // A dead leader's key goes with its lease. While it stands, we are cut off from a living leader.
-        return silentMs < if (leader == null) leaseMs * ELECTION_LEASES else leaseMs * 5 / 4
+        // A dead leader's key goes with its lease. While it stands, the leader lives: it is slow, or we are cut off from it.
+        return silentMs < leaseMs * if (leader == null) ELECTION_LEASES else SILENT_LEASES
     }
 
     private suspend fun user(method: String, path: String, body: ByteArray, forwarded: Boolean): HttpReply {
@@ -216,6 +220,9 @@
     }
 
     private suspend fun beat(body: ByteArray): HttpReply {
+        // Right after an election the whole fleet comes at once; what needs no look at the report gets none.
+        if (leading?.ready == false || leading == null && leader == null) return HttpReply(503)
+        if (leading == null && clocks.steadyMs() - leaderSinceMs < reportMs / 2) return HttpReply(421, WorkerWire.elsewhere(leader))
         val report = try {
             WorkerWire.report(body)
         } catch (e: Malformed) {
@@ -292,6 +299,9 @@
         /** An election takes one lease, its replay, and the leader's first word to its peers. */
         private const val ELECTION_LEASES = 3
 
+        /** By then a leader that lives would have been heard, however slow its start. */
+        private const val SILENT_LEASES = 3
+
         /** Machines come and go; what was told of the present ones comes again soon. */
         private const val MOST_IMAGES_TOLD = 10_000
         private const val MOST_REDIRECTED = 100_000
