--- a/src/test/kotlin/cleathitch/core/EngineTrace.kt
+++ b/src/test/kotlin/cleathitch/core/EngineTrace.kt
@@ -2,16 +2,16 @@
 
 import cleathitch.state.StoredCodec
 
-/** One engine that leads in term 7, whose commits succeed at once, and what a test feeds it with. */
-abstract class EngineTrace {
+/** One engine that leads, whose commits succeed at once, and what a test feeds it with. */
+abstract class EngineTrace(private val term: Long = 7, snapshot: Snapshot = Snapshot.EMPTY) {
     protected val type = MachineType("m4", 4.0, 0.0, 16.0, 50.0, 1.0, 1.0, 0.4, 5.0, listOf("a", "b"))
     protected val deployment = World.standard.copy(teams = mapOf("red" to Team("red", 8.0, null, 0.0, null)))
     protected val tuning = Tuning.of(deployment)
-    protected val engine = Engine(deployment, tuning, Term(7), Snapshot.EMPTY, Moment(0, 0), StoredCodec)
+    protected val engine = Engine(deployment, tuning, Term(term), snapshot, Moment(0, 0), StoredCodec)
     protected var nowMs = 0L
         private set
 
-    protected var revision = 7L
+    protected var revision = term
         private set
 
     private var requests = 0L
@@ -28,6 +28,10 @@
         return effects
     }
 
+    protected fun at(ms: Long) {
+        nowMs = ms
+    }
+
     protected fun settle(rounds: Int) = List(rounds) {
         nowMs += tuning.roundMs
         step(Command.Tick)
@@ -40,7 +44,7 @@
         }
     }
 
-    protected fun report(machine: Int, seq: Long = 1, version: OrderVersion = OrderVersion.first(7), session: Long = 1) = Report(
+    protected fun report(machine: Int, seq: Long = 1, version: OrderVersion = OrderVersion.first(term), session: Long = 1) = Report(
         MachineId("vm-%06d".format(machine)), "10.0.0.9:1", "m4", if (machine % 2 == 0) "a" else "b", false, session, seq,
         version, null, emptyList(),
     )
--- a/src/test/kotlin/cleathitch/core/RulesTest.kt
+++ b/src/test/kotlin/cleathitch/core/RulesTest.kt
@@ -16,7 +16,10 @@
         "late copies of reports" to Weather(held = 0.02, copied = 0.3, killS = 20.0),
         "machines that hear nothing" to Weather(copied = 0.05, deafS = 20.0),
         "processes and machines back at once" to Weather(held = 0.02, copied = 0.1, killS = 10.0, bounceS = 6.0, quick = true),
-        "everything at once" to Weather(0.05, 0.05, 0.05, killS = 25.0, cutS = 30.0, dieS = 20.0, hangS = 15.0, copied = 0.05, deafS = 40.0, bounceS = 30.0),
+        "racks that stop and zones that are cut off" to Weather(held = 0.02, rackS = 40.0, zoneS = 40.0, copied = 0.05, killS = 40.0),
+        "nodes that stand still" to Weather(held = 0.02, copied = 0.1, standS = 8.0, hangS = 20.0),
+        "standstills in elections" to Weather(twice = 0.05, killS = 8.0, standS = 6.0, bounceS = 15.0, zoneS = 60.0, quick = true),
+        "everything at once" to Weather(0.05, 0.05, 0.05, killS = 25.0, cutS = 30.0, dieS = 20.0, hangS = 15.0, copied = 0.05, deafS = 40.0, bounceS = 30.0, rackS = 60.0, zoneS = 60.0, standS = 30.0),
     )
 
     @TestFactory
--- a/src/test/kotlin/cleathitch/core/World.kt
+++ b/src/test/kotlin/cleathitch/core/World.kt
@@ -22,6 +22,10 @@
     /** Mean time between machines that lose what is sent to them, and between machines that start anew at once. */
     val deafS: Double = 0.0,
     val bounceS: Double = 0.0,
+    /** Mean time between racks that stop (a quarter of the machines), zones cut off, and nodes that stand still. */
+    val rackS: Double = 0.0,
+    val zoneS: Double = 0.0,
+    val standS: Double = 0.0,
     /** Killed nodes are back within a fraction of a second, and may be killed again in the election. */
     val quick: Boolean = false,
 )
@@ -30,7 +34,12 @@
  * A stand-in for everything round the core: state service, cloud, workers, users and the nodes' own
  * elections, in simulated time and from one seed. After each step it checks the page's rules.
  */
-class World(seed: Long, private val weather: Weather, val deployment: Deployment = standard) {
+class World(
+    seed: Long,
+    private val weather: Weather,
+    val deployment: Deployment = standard,
+    private val mostMachines: Int = 24,
+) {
     private class Step(val atMs: Long, val order: Long, val action: () -> Unit)
 
     val random = Random(seed)
@@ -51,9 +60,9 @@
     }
 
     /** A message on its way: late, lost or doubled as the weather has it. */
-    private fun send(action: () -> Unit) {
+    private fun send(heldMs: Long = 0, action: () -> Unit) {
         if (!calm && random.nextDouble() < weather.lost) return
-        val delay = if (!calm && random.nextDouble() < weather.held) random.nextLong(60_000) else random.nextLong(1, 20)
+        val delay = maxOf(0, heldMs) + if (!calm && random.nextDouble() < weather.held) random.nextLong(60_000) else random.nextLong(1, 20)
         after(delay, action)
         if (!calm && random.nextDouble() < weather.twice) after(delay + random.nextLong(30_000), action)
     }
@@ -118,6 +127,9 @@
         private var head = 0L
         private var life = 0
         var cutFromState = false
+
+        /** Until then it does nothing, while its clocks run on; what comes meanwhile waits. */
+        var standsUntilMs = 0L
         private var heldUntil = 0L
         private var lastRenewal = 0L
 
@@ -128,6 +140,7 @@
             val mine = life
             fun loop() {
                 if (life != mine) return
+                if (nowMs < standsUntilMs) return after(standsUntilMs - nowMs, ::loop)
                 expireLease()
                 if (engine == null && leaderKey == null && !cutFromState) elect()
                 engine?.let { if (nowMs - lastRenewal >= TTL_MS / 4) renew() }
@@ -182,6 +195,10 @@
         }
 
         fun take(command: Command) {
+            if (nowMs < standsUntilMs) {
+                val mine = life
+                return after(standsUntilMs - nowMs) { if (life == mine) take(command) }
+            }
             val engine = engine ?: return
             engine.handle(listOf(command), moment()).forEach(::perform)
         }
@@ -193,7 +210,7 @@
             val expected = head
             fun attempt() {
                 if (term != mine || engine == null || inFlight !== commit) return
-                if (!cutFromState) {
+                if (!cutFromState && nowMs >= standsUntilMs) {
                     send {
                         val done = transact(mine, expected, commit.changes)
                         val applied = (cells[Journal.HEAD]?.stored as? Stored.Head)?.let { it.seq == commit.seq && it.term.revision == mine } == true
@@ -266,6 +283,9 @@
         private var node = random.nextInt(nodes.size)
         private var hangsUntilMs = 0L
 
+        /** Until then its zone is cut off: what it sends and what is sent to it is held. */
+        private val heldMs get() = (cutZones[zone] ?: 0L) - nowMs
+
         /** Its reports arrive; answers and orders don't reach it. */
         var deaf = false
         val zone get() = offer.zone
@@ -336,10 +356,10 @@
                     leader?.take(Command.Reported(RequestId(++requests), report))
                 }
             }
-            send {
+            send(heldMs) {
                 if (target.engine == null) return@send
                 reportAnswers[request] = { answer ->
-                    send {
+                    send(heldMs) {
                         if (!deaf && machines[id] === this && report.session == session && nowMs - sentMs < 4000 && !answered && nowMs >= hangsUntilMs) {
                             answered = true
                             if (answer.version.packed >= token) {
@@ -358,9 +378,10 @@
 
         fun direct(push: Effect.Push): Report? {
             if (deaf) return null
-            if (nowMs < hangsUntilMs) {
-                // A hanging machine takes up what waited for it when it goes on.
-                after(hangsUntilMs - nowMs + 1) { machines[id]?.direct(push) }
+            val waitMs = maxOf(hangsUntilMs - nowMs, heldMs)
+            if (waitMs > 0) {
+                // A hanging machine, or one cut off, takes up what waited for it when it goes on.
+                after(waitMs + 1) { machines[id]?.direct(push) }
                 return null
             }
             advance()
@@ -372,7 +393,7 @@
         }
 
         fun inspected(): Report? {
-            if (deaf || nowMs < hangsUntilMs) return null
+            if (deaf || nowMs < hangsUntilMs || heldMs > 0) return null
             advance()
             return report()
         }
@@ -399,11 +420,12 @@
     }
 
     val machines = LinkedHashMap<MachineId, Worker>()
+    private val cutZones = HashMap<String, Long>()
     private val rentals = HashMap<String, List<MachineId>>()
     private var machineCount = 0
 
     private fun rent(asked: Event.RentalAsked): List<MachineId> = rentals.getOrPut(asked.request) {
-        val count = minOf(asked.count, MOST_MACHINES - machines.size).coerceAtLeast(0)
+        val count = minOf(asked.count, mostMachines - machines.size).coerceAtLeast(0)
         List(count) {
             val id = MachineId("vm-%06d".format(machineCount++))
             val worker = Worker(id, asked.offer)
@@ -426,6 +448,9 @@
     val submitted = LinkedHashMap<JobId, Known>()
     private val results = HashSet<TaskId>()
 
+    /** When the first task of each job was given to a machine. */
+    val firstStartMs = HashMap<JobId, Long>()
+
     fun submit(spec: JobSpec) {
         val known = submitted.getOrPut(spec.id) { Known(spec) }
         fun ask() {
@@ -495,6 +520,7 @@
 
     private fun started(task: TaskId, on: Worker) {
         val spec = submitted.getValue(task.job).spec
+        firstStartMs.putIfAbsent(task.job, nowMs)
         if (on.spot && !spec.spotAllowed) broken += "wrong_place: $task on a spot machine"
         if (spec.zone != null && on.zone != spec.zone) broken += "wrong_place: $task in ${on.zone}"
     }
@@ -549,6 +575,12 @@
         now(weather.dieS) { machines.keys.randomOrNull(random)?.let(machines::remove) }
         now(weather.deafS) { machines.values.randomOrNull(random)?.let { it.deaf = true } }
         now(weather.bounceS) { machines.values.randomOrNull(random)?.bounce() }
+        now(weather.rackS) { machines.keys.shuffled(random).take(machines.size / 4).forEach(machines::remove) }
+        now(weather.zoneS) { cutZones[deployment.zones.random(random)] = nowMs + random.nextLong(5_000, 60_000) }
+        now(weather.standS) {
+            val node = if (random.nextBoolean()) leader ?: nodes.random(random) else nodes.random(random)
+            node.standsUntilMs = nowMs + random.nextLong(1000, if (random.nextInt(4) == 0) 50_000 else 6000)
+        }
         now(weather.hangS) { machines.values.randomOrNull(random)?.hang() }
     }
 
@@ -557,6 +589,7 @@
         calm = true
         calmSinceMs = nowMs
         nodes.forEach { it.cutFromState = false }
+        cutZones.clear()
     }
 
     companion object {
@@ -564,7 +597,6 @@
 
         /** An accepted job without any answer for so long is forgotten. */
         private const val FORGOTTEN_MS = 75_000L
-        private const val MOST_MACHINES = 24
 
         val standard = Deployment(
             zones = listOf("a", "b"),
