--- a/src/main/kotlin/cleathitch/core/Placement.kt
+++ b/src/main/kotlin/cleathitch/core/Placement.kt
@@ -24,6 +24,9 @@
             attempts.mapNotNullTo(HashSet()) { a -> a.job.spec.image.takeIf { a.runningSinceMs == null && !machine.hasImage(it) } }
         }
 
+        /** Costs more than the kind of machine meant for the work, and would otherwise go back. */
+        fun isDear(shape: PlacementClass) = shape.spotAllowed && !machine.offer.spot && !kept
+
         fun fits(shape: PlacementClass) = Fleet.slots(shape, cpus, gpus, memoryGb) > 0
 
         fun take(shape: PlacementClass) {
@@ -58,7 +61,8 @@
         var looks = 0L
             private set
 
-        fun choose(job: Job): Machine? {
+        /** A [patient] job waits for the kind of machine meant for it. */
+        fun choose(job: Job, patient: Boolean): Machine? {
             val shape = job.spec.placementClass
             val zones = zonesFor(job)
             var best: Ranked? = null
@@ -69,6 +73,7 @@
                 if (best == null || list.costs[list.next] < best.costs[best.next]) best = list
             }
             val room = best?.let { it.rooms[it.next] } ?: return null
+            if (patient && room.isDear(shape)) return null
             room.take(shape)
             return room.machine
         }
@@ -203,7 +208,7 @@
             shape.image in room.coming -> FETCH / 2
             else -> FETCH * (1 + room.coming.size)
         }
-        val kind = if (shape.spotAllowed && !machine.offer.spot && !room.kept) OTHER_KIND else 0.0
+        val kind = if (room.isDear(shape)) OTHER_KIND else 0.0
         val spare = if (shape.kind != JobKind.SERVICE && room.kept) -1.0 else 0.0
         return fetch + kind + spare + (room.cpus - shape.cpus) / room.wholeCpus + machine.faults
     }
