Users and orders are parts of their own; as many returns at once as a value holds

Engine had come to own what users are told and what machines are told as well. Moved without change of behaviour: Users (answers and their gates), Orders (the difference between intent and report). The bound on unsettled returns follows the state service's value size instead of a constant 300: a rack of 360 machines was returned in pieces.

--- a/src/main/kotlin/cleathitch/core/Engine.kt
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -5,7 +5,7 @@
  * no randomness and no connections of its own.
  *
  * Events change the state in memory at once, but nothing that depends on one leaves the engine before
- * its record is committed: answers wait in [gates], orders look at [Journal.committed].
+ * its record is committed: answers wait with [users], orders look at [Journal.committed].
  */
 class Engine(
     private val deployment: Deployment,
@@ -15,8 +15,6 @@
     start: Moment,
     sizes: Journal.Sizes,
 ) {
-    private class Gate(val seq: Seq, val answer: Effect.Answer, val giveUpMs: Long)
-
     private val ledger = Ledger()
     private val fleet = Fleet(deployment, ledger)
     private val quota = Quota(deployment.teams, ledger)
@@ -27,10 +25,17 @@
     private val aims = deployment.objectives.filterIsInstance<Objective.Finished>().sortedBy { it.withinS }
         .groupBy({ it.className }, { it.withinS })
     private val effects = ArrayList<Effect>()
-    private val gates = ArrayList<Gate>()
-
-    /** Outcomes on their way to the journal, by machine; an exited attempt is forgotten there after that. */
-    private val outcomes = HashMap<MachineId, HashMap<AttemptId, Seq>>()
+    private val leading = object : Leading {
+        override val now get() = this@Engine.now
+        override fun leaseHeld() = this@Engine.leaseHeld()
+        override fun stalled() = writeSinceMs?.let { now.steadyMs - it > tuning.stallMs } == true
+        override fun append(event: Event) = this@Engine.append(event)
+        override fun emit(effect: Effect) {
+            effects += effect
+        }
+    }
+    private val users = Users(leading, ledger, journal, fleet, quota, deployment.teams, tuning.intakeMs)
+    private val orders = Orders(ledger, journal)
 
     /** Machines to which new orders go as soon as a record is committed. */
     private val toPush = HashMap<Seq, MutableSet<MachineId>>()
@@ -104,7 +109,7 @@
         ledger.jobs.forEach { job ->
             // An older leader's orders may still be on their way, under versions below this term's first.
             job.live.values.forEach { it.inherited = version }
-            stopIfOver(job)
+            job.stopIfOver()
         }
     }
 
@@ -130,7 +135,7 @@
             }
             if (mayPlace()) round()
             resizeFleet()
-            expireGates()
+            users.expire()
             write()
         }
         return effects.toList()
@@ -148,9 +153,9 @@
 
     private fun take(command: Command) {
         when (command) {
-            is Command.Submit -> submit(command)
-            is Command.Poll -> poll(command)
-            is Command.Abort -> abort(command)
+            is Command.Submit -> users.submit(command)
+            is Command.Poll -> users.poll(command)
+            is Command.Abort -> users.abort(command)
             is Command.Reported -> reported(command)
             is Command.Inspected -> inspected(command.report)
             is Command.LeaseHeld -> heldUntilMs = maxOf(heldUntilMs, command.untilMs)
@@ -207,98 +212,17 @@
         journal.committed(command.seq)
         writeSinceMs = null
         version = maxOf(version, OrderVersion.first(command.revision))
-        val (open, rest) = gates.partition { it.seq <= journal.committed }
-        gates.clear()
-        gates += rest
-        open.forEach { effects += it.answer }
+        users.committed()
         val machines = toPush.filterKeys { it <= journal.committed }
         machines.keys.forEach(toPush::remove)
         machines.values.flatMapTo(LinkedHashSet()) { it }.forEach { id -> fleet.machines[id]?.let(::push) }
         sendFleetOrders()
     }
 
-    private fun gate(seq: Seq, answer: Effect.Answer) {
-        if (seq <= journal.committed) effects += answer else gates += Gate(seq, answer, now.steadyMs + tuning.intakeMs)
-    }
-
-    private fun expireGates() {
-        val late = gates.filter { it.giveUpMs <= now.steadyMs }
-        if (late.isEmpty()) return
-        gates.removeAll(late.toSet())
-        late.forEach { answer(it.answer.request, UserReply.NotNow("the state service is slow")) }
-    }
-
-    // ---- users
+    // ---- what the term allows
 
     private fun mayAnswerMachines() = now.steadyMs < heldUntilMs + tuning.graceMs
     private fun leaseHeld() = now.steadyMs < heldUntilMs
-    private fun stalled() = writeSinceMs?.let { now.steadyMs - it > tuning.stallMs } == true
-
-    private fun answer(request: RequestId, reply: UserReply) {
-        effects += Effect.Answer(request, reply)
-    }
-
-    private fun submit(command: Command.Submit) {
-        val (request, spec) = command
-        if (!leaseHeld()) return answer(request, UserReply.NotNow("no lease"))
-        ledger.finalState(spec.id)?.let { return answer(request, UserReply.Accepted(spec.id, shown(it), known = true)) }
-        ledger.job(spec.id)?.let { job ->
-            return gate(job.acceptedSeq, Effect.Answer(request, UserReply.Accepted(job.id, shownState(job), known = true)))
-        }
-        if (fleet.types.isEmpty()) return answer(request, UserReply.NotNow("machine types aren't known yet"))
-        neverRuns(spec)?.let { return answer(request, UserReply.NeverRuns(it)) }
-        if (stalled()) return answer(request, UserReply.NotNow("the state service doesn't answer"))
-        val seq = append(Event.JobAccepted(spec, now.wallMs))
-        note(NoteLevel.DEBUG) { "job ${spec.id} class ${spec.className} team ${spec.team}: ${spec.tasks} tasks taken in" }
-        gate(seq, Effect.Answer(request, UserReply.Accepted(spec.id, ShownState.QUEUED, known = false)))
-    }
-
-    private fun neverRuns(spec: JobSpec): String? {
-        if (spec.team !in deployment.teams) return "unknown team"
-        val shape = spec.placementClass
-        val fits = fleet.types.values.any { type ->
-            type.holds(shape) && type.zones.any { fleet.allows(shape, Offer(type.name, it, spot = false)) }
-        }
-        if (!fits) return "no allowed machine type holds a task"
-        if (!quota.everAllows(spec)) return "more than the team's limit"
-        return null
-    }
-
-    private fun poll(command: Command.Poll) {
-        val (request, id) = command
-        if (!leaseHeld()) return answer(request, UserReply.NotNow("no lease"))
-        ledger.finalState(id)?.let { return answer(request, UserReply.Status(id, shown(it), 0, 0)) }
-        val job = ledger.job(id) ?: return answer(request, UserReply.NotFound)
-        val running = job.live.values.count { it.seen == TaskState.RUNNING }
-        gate(job.acceptedSeq, Effect.Answer(request, UserReply.Status(id, shownState(job), job.doneCount, running)))
-    }
-
-    private fun abort(command: Command.Abort) {
-        val (request, id) = command
-        if (!leaseHeld()) return answer(request, UserReply.NotNow("no lease"))
-        ledger.finalState(id)?.let { return answer(request, UserReply.Aborted(id, shown(it))) }
-        val job = ledger.job(id) ?: return answer(request, UserReply.NotFound)
-        if (!job.over) {
-            if (stalled()) return answer(request, UserReply.NotNow("the state service doesn't answer"))
-            append(Event.JobCancelled(id))
-            stopIfOver(job)
-            note(NoteLevel.DEBUG) { "job $id cancelled" }
-        }
-        val state = if (job.cancelled) ShownState.CANCELLED else ShownState.DONE
-        gate(job.cancelledSeq ?: job.finishedSeq!!, Effect.Answer(request, UserReply.Aborted(id, state)))
-    }
-
-    private fun shown(state: FinalState) = when (state) {
-        FinalState.DONE -> ShownState.DONE
-        FinalState.CANCELLED -> ShownState.CANCELLED
-    }
-
-    /** What may be told: an end that isn't committed yet isn't told. */
-    private fun shownState(job: Job): ShownState {
-        job.cancelledSeq?.let { if (it <= journal.committed) return ShownState.CANCELLED }
-        job.finishedSeq?.let { if (it <= journal.committed) return ShownState.DONE }
-        return if (job.live.values.any { it.seen == TaskState.RUNNING }) ShownState.RUNNING else ShownState.QUEUED
-    }
 
     // ---- machines
 
@@ -396,12 +320,9 @@
         for (attempt in ledger.attemptsOn(machine.id).toList()) {
             if (attempt.id in shown) continue
             attempt.seen = null
-            if (attempt.stop != null && surelyGone(attempt, machine)) over(attempt)
-        }
-        outcomes[machine.id]?.let { own ->
-            own.entries.removeAll { (id, seq) -> id !in shown && seq <= journal.committed }
-            if (own.isEmpty()) outcomes.remove(machine.id)
+            if (attempt.stop != null && orders.surelyGone(attempt, machine)) over(attempt)
         }
+        orders.shown(machine.id, shown)
         if (ledger.attemptsOn(machine.id).isNotEmpty()) machine.idleSinceMs = now.steadyMs
     }
 
@@ -448,79 +369,22 @@
     private fun finish(machine: Machine, job: Job, attempt: AttemptId) {
         if (job.done[attempt.task.index]) return
         note(NoteLevel.DEBUG) { "task $attempt is done" }
-        noteOutcome(machine.id, attempt, append(Event.TaskDone(job.id, attempt.task.index, attempt.number)))
+        orders.outcome(machine.id, attempt, append(Event.TaskDone(job.id, attempt.task.index, attempt.number)))
         job.failures = 0
         job.live[attempt.task.index]?.stop = StopCause.STRAY
         if (ledger.attemptsOn(machine.id).isEmpty()) machine.idleSinceMs = now.steadyMs
-        stopIfOver(job)
+        job.stopIfOver()
         if (job.finishedSeq != null) note(NoteLevel.DEBUG) { "job ${job.id} is done" }
     }
 
-    private fun noteOutcome(machine: MachineId, attempt: AttemptId, seq: Seq) {
-        outcomes.getOrPut(machine) { HashMap() }[attempt] = seq
-    }
-
     /** The attempt is surely gone; its task may start again. */
     private fun over(attempt: Attempt) {
-        noteOutcome(attempt.machine, attempt.id, append(Event.AttemptOver(attempt.id.task.job, attempt.id.task.index, attempt.id.number)))
+        orders.outcome(attempt.machine, attempt.id, append(Event.AttemptOver(attempt.id.task.job, attempt.id.task.index, attempt.id.number)))
         val machine = fleet.machines[attempt.machine] ?: return
         if (ledger.attemptsOn(machine.id).isEmpty()) machine.idleSinceMs = now.steadyMs
     }
 
-    /**
-     * An attempt that a report lacks may yet be started by an order on its way, unless the machine has
-     * seen a higher version than any such order bears.
-     */
-    private fun surelyGone(attempt: Attempt, machine: Machine): Boolean {
-        val newest = attempt.newestStart ?: return true
-        return machine.version > newest
-    }
-
-    private fun stopIfOver(job: Job) {
-        if (job.over) job.live.values.forEach { it.stop = StopCause.CANCELLED }
-    }
-
-    /** The orders that bring the machine from what its newest report shows to what is intended. */
-    private fun ordersFor(machine: Machine): List<Order> {
-        if (version.countLeft == 0L) return emptyList()
-        val stops = ArrayList<Order>()
-        val starts = ArrayList<Order>()
-        val forgets = ArrayList<Order>()
-        val shown = HashMap<AttemptId, ReportedTask>()
-        for (task in machine.reported) {
-            shown[task.attempt] = task
-            val attempt = ledger.attempt(task.attempt)?.takeIf { it.machine == machine.id }
-            when {
-                task.state == TaskState.EXITED ->
-                    if (attempt == null && (outcomes[machine.id]?.get(task.attempt) ?: Seq.NONE) <= journal.committed) {
-                        forgets += Order.Forget(task.attempt)
-                    }
-                attempt == null -> stops += Order.Stop(task.attempt, 0.0)
-                attempt.stop != null && mayStop(attempt) -> stop(attempt, task.state)?.let { stops += it }
-            }
-        }
-        for (attempt in ledger.attemptsOn(machine.id)) {
-            if (attempt.id in shown) continue
-            if (attempt.stop != null) {
-                // Nothing to stop, but the order's version shuts out a start that is still on its way.
-                if (attempt.newestStart != null && mayStop(attempt)) stops += Order.Stop(attempt.id, 0.0)
-            } else if (attempt.startSeq <= journal.committed && machine.state == MachineState.UP) {
-                starts += Order.Start(attempt.id)
-            }
-        }
-        return forgets + stops + starts
-    }
-
-    private fun mayStop(attempt: Attempt) =
-        attempt.stop != StopCause.CANCELLED ||
-            (attempt.job.cancelledSeq ?: attempt.job.finishedSeq ?: Seq.NONE) <= journal.committed
-
-    private fun stop(attempt: Attempt, state: TaskState): Order? {
-        val spec = attempt.job.spec
-        val saves = attempt.stop != StopCause.CANCELLED && attempt.stop != StopCause.STRAY && spec.checkpointS > 0
-        if (saves && state == TaskState.SAVING) return null
-        return Order.Stop(attempt.id, if (saves) spec.saveS else 0.0)
-    }
+    private fun ordersFor(machine: Machine) = if (version.countLeft == 0L) emptyList() else orders.of(machine)
 
     private fun noteSent(orders: List<Order>) {
         for (order in orders) if (order is Order.Start) ledger.attempt(order.attempt)?.sent = version
@@ -627,7 +491,7 @@
 
     private fun retire(id: MachineId, reason: String) {
         // What isn't settled yet has to fit into one value.
-        if (fleet.retired.size >= MOST_RETIRED) return
+        if (fleet.retired.size >= deployment.stateValueBytes / RETIRED_BYTES) return
         fleetSeqs[id.text] = append(Event.MachineRetired(id))
         note(NoteLevel.INFO) { "machine $id is returned: $reason" }
     }
@@ -864,8 +728,8 @@
         /** The page's limit for one call. */
         const val RETURNS_PER_CALL = 100
 
-        /** Returns that aren't confirmed yet stand in one value with the rentals; a name takes some 20 bytes there. */
-        const val MOST_RETIRED = 300
+        /** Returns that aren't confirmed yet stand in one value with the rentals; a name takes about half as much there. */
+        const val RETIRED_BYTES = 27
 
         /** Direct questions to a silent machine before it is given up, and how many machines are asked at a time. */
         const val PROBES = 2
@@ -879,7 +743,7 @@
         const val FEW_DEAF = 2
 
         /** Of an array's slack; the rest is for what comes between, such as a machine that is lost. */
-        const val PATIENCE = 0.25
+        const val PATIENCE = 0.5
 
         /** Rounds wait while more records than these wait to be written. */
         const val MOST_BACKLOG = 2
--- a/src/main/kotlin/cleathitch/core/Ledger.kt
+++ b/src/main/kotlin/cleathitch/core/Ledger.kt
@@ -59,6 +59,11 @@
         return fresh.takeIf { it < spec.tasks }
     }
 
+    /** Of a job that is over nothing goes on. */
+    fun stopIfOver() {
+        if (over) live.values.forEach { it.stop = StopCause.CANCELLED }
+    }
+
     internal fun started(attempt: Attempt) {
         val index = attempt.id.task.index
         live[index] = attempt
--- /dev/null
+++ b/src/main/kotlin/cleathitch/core/Orders.kt
@@ -0,0 +1,68 @@
+package cleathitch.core
+
+/** What a machine is to be told: the difference between what is intended and what its newest report shows. */
+internal class Orders(private val ledger: Ledger, private val journal: Journal) {
+    /** Outcomes on their way to the journal, by machine; an exited attempt is forgotten there after that. */
+    private val outcomes = HashMap<MachineId, HashMap<AttemptId, Seq>>()
+
+    fun outcome(machine: MachineId, attempt: AttemptId, seq: Seq) {
+        outcomes.getOrPut(machine) { HashMap() }[attempt] = seq
+    }
+
+    /** Outcomes that are committed needn't be kept once the machine shows their attempts no more. */
+    fun shown(machine: MachineId, attempts: Set<AttemptId>) {
+        val own = outcomes[machine] ?: return
+        own.entries.removeAll { (id, seq) -> id !in attempts && seq <= journal.committed }
+        if (own.isEmpty()) outcomes.remove(machine)
+    }
+
+    /**
+     * An attempt that a report lacks may yet be started by an order on its way, unless the machine has
+     * seen a higher version than any such order bears.
+     */
+    fun surelyGone(attempt: Attempt, machine: Machine): Boolean {
+        val newest = attempt.newestStart ?: return true
+        return machine.version > newest
+    }
+
+    /** The orders that bring the machine from what its newest report shows to what is intended. */
+    fun of(machine: Machine): List<Order> {
+        val stops = ArrayList<Order>()
+        val starts = ArrayList<Order>()
+        val forgets = ArrayList<Order>()
+        val shown = HashMap<AttemptId, ReportedTask>()
+        for (task in machine.reported) {
+            shown[task.attempt] = task
+            val attempt = ledger.attempt(task.attempt)?.takeIf { it.machine == machine.id }
+            when {
+                task.state == TaskState.EXITED ->
+                    if (attempt == null && (outcomes[machine.id]?.get(task.attempt) ?: Seq.NONE) <= journal.committed) {
+                        forgets += Order.Forget(task.attempt)
+                    }
+                attempt == null -> stops += Order.Stop(task.attempt, 0.0)
+                attempt.stop != null && mayStop(attempt) -> stop(attempt, task.state)?.let { stops += it }
+            }
+        }
+        for (attempt in ledger.attemptsOn(machine.id)) {
+            if (attempt.id in shown) continue
+            if (attempt.stop != null) {
+                // Nothing to stop, but the order's version shuts out a start that is still on its way.
+                if (attempt.newestStart != null && mayStop(attempt)) stops += Order.Stop(attempt.id, 0.0)
+            } else if (attempt.startSeq <= journal.committed && machine.state == MachineState.UP) {
+                starts += Order.Start(attempt.id)
+            }
+        }
+        return forgets + stops + starts
+    }
+
+    private fun mayStop(attempt: Attempt) =
+        attempt.stop != StopCause.CANCELLED ||
+            (attempt.job.cancelledSeq ?: attempt.job.finishedSeq ?: Seq.NONE) <= journal.committed
+
+    private fun stop(attempt: Attempt, state: TaskState): Order? {
+        val spec = attempt.job.spec
+        val saves = attempt.stop != StopCause.CANCELLED && attempt.stop != StopCause.STRAY && spec.checkpointS > 0
+        if (saves && state == TaskState.SAVING) return null
+        return Order.Stop(attempt.id, if (saves) spec.saveS else 0.0)
+    }
+}
--- /dev/null
+++ b/src/main/kotlin/cleathitch/core/Users.kt
@@ -0,0 +1,114 @@
+package cleathitch.core
+
+/** What a part of the engine needs of the whole. */
+internal interface Leading {
+    val now: Moment
+    fun leaseHeld(): Boolean
+
+    /** The state service leaves a commit without an answer for long. */
+    fun stalled(): Boolean
+    fun append(event: Event): Seq
+    fun emit(effect: Effect)
+}
+
+internal inline fun Leading.note(level: NoteLevel, text: () -> String) = emit(Effect.Note(level, text()))
+
+/** What users ask and are told. Nothing is told before the record behind it is committed. */
+internal class Users(
+    private val leading: Leading,
+    private val ledger: Ledger,
+    private val journal: Journal,
+    private val fleet: Fleet,
+    private val quota: Quota,
+    private val teams: Map<String, Team>,
+    private val intakeMs: Long,
+) {
+    private class Gate(val seq: Seq, val answer: Effect.Answer, val giveUpMs: Long)
+
+    private val gates = ArrayList<Gate>()
+
+    /** Gives the answers whose records are committed by now. */
+    fun committed() {
+        val (open, rest) = gates.partition { it.seq <= journal.committed }
+        gates.clear()
+        gates += rest
+        open.forEach { leading.emit(it.answer) }
+    }
+
+    private fun gate(seq: Seq, answer: Effect.Answer) {
+        if (seq <= journal.committed) leading.emit(answer) else gates += Gate(seq, answer, leading.now.steadyMs + intakeMs)
+    }
+
+    fun expire() {
+        val late = gates.filter { it.giveUpMs <= leading.now.steadyMs }
+        if (late.isEmpty()) return
+        gates.removeAll(late.toSet())
+        late.forEach { answer(it.answer.request, UserReply.NotNow("the state service is slow")) }
+    }
+
+    private fun answer(request: RequestId, reply: UserReply) {
+        leading.emit(Effect.Answer(request, reply))
+    }
+
+    fun submit(command: Command.Submit) {
+        val (request, spec) = command
+        if (!leading.leaseHeld()) return answer(request, UserReply.NotNow("no lease"))
+        ledger.finalState(spec.id)?.let { return answer(request, UserReply.Accepted(spec.id, shown(it), known = true)) }
+        ledger.job(spec.id)?.let { job ->
+            return gate(job.acceptedSeq, Effect.Answer(request, UserReply.Accepted(job.id, shownState(job), known = true)))
+        }
+        if (fleet.types.isEmpty()) return answer(request, UserReply.NotNow("machine types aren't known yet"))
+        neverRuns(spec)?.let { return answer(request, UserReply.NeverRuns(it)) }
+        if (leading.stalled()) return answer(request, UserReply.NotNow("the state service doesn't answer"))
+        val seq = leading.append(Event.JobAccepted(spec, leading.now.wallMs))
+        leading.note(NoteLevel.DEBUG) { "job ${spec.id} class ${spec.className} team ${spec.team}: ${spec.tasks} tasks taken in" }
+        gate(seq, Effect.Answer(request, UserReply.Accepted(spec.id, ShownState.QUEUED, known = false)))
+    }
+
+    private fun neverRuns(spec: JobSpec): String? {
+        if (spec.team !in teams) return "unknown team"
+        val shape = spec.placementClass
+        val fits = fleet.types.values.any { type ->
+            type.holds(shape) && type.zones.any { fleet.allows(shape, Offer(type.name, it, spot = false)) }
+        }
+        if (!fits) return "no allowed machine type holds a task"
+        if (!quota.everAllows(spec)) return "more than the team's limit"
+        return null
+    }
+
+    fun poll(command: Command.Poll) {
+        val (request, id) = command
+        if (!leading.leaseHeld()) return answer(request, UserReply.NotNow("no lease"))
+        ledger.finalState(id)?.let { return answer(request, UserReply.Status(id, shown(it), 0, 0)) }
+        val job = ledger.job(id) ?: return answer(request, UserReply.NotFound)
+        val running = job.live.values.count { it.seen == TaskState.RUNNING }
+        gate(job.acceptedSeq, Effect.Answer(request, UserReply.Status(id, shownState(job), job.doneCount, running)))
+    }
+
+    fun abort(command: Command.Abort) {
+        val (request, id) = command
+        if (!leading.leaseHeld()) return answer(request, UserReply.NotNow("no lease"))
+        ledger.finalState(id)?.let { return answer(request, UserReply.Aborted(id, shown(it))) }
+        val job = ledger.job(id) ?: return answer(request, UserReply.NotFound)
+        if (!job.over) {
+            if (leading.stalled()) return answer(request, UserReply.NotNow("the state service doesn't answer"))
+            leading.append(Event.JobCancelled(id))
+            job.stopIfOver()
+            leading.note(NoteLevel.DEBUG) { "job $id cancelled" }
+        }
+        val state = if (job.cancelled) ShownState.CANCELLED else ShownState.DONE
+        gate(job.cancelledSeq ?: job.finishedSeq!!, Effect.Answer(request, UserReply.Aborted(id, state)))
+    }
+
+    private fun shown(state: FinalState) = when (state) {
+        FinalState.DONE -> ShownState.DONE
+        FinalState.CANCELLED -> ShownState.CANCELLED
+    }
+
+    /** What may be told: an end that isn't committed yet isn't told. */
+    private fun shownState(job: Job): ShownState {
+        job.cancelledSeq?.let { if (it <= journal.committed) return ShownState.CANCELLED }
+        job.finishedSeq?.let { if (it <= journal.committed) return ShownState.DONE }
+        return if (job.live.values.any { it.seen == TaskState.RUNNING }) ShownState.RUNNING else ShownState.QUEUED
+    }
+}
