A term is led once, also when its lease couldn't be ended

Cause, found in rereading the elections: a node that gave a term up and whose request to end its lease was lost saw the key as its own and led the same term anew; its rentals would have borne used names and its versions counted from the start. Now such a lease is ended, or runs out, first. A leader whose work stands still lets its lease run out.

--- a/src/main/kotlin/cleathitch/LeaderTerm.kt
+++ b/src/main/kotlin/cleathitch/LeaderTerm.kt
@@ -104,8 +104,8 @@
         reports.values.toList().forEach { it.complete(null) }
     }
 
-    /** Replays what is recorded, says when it is [done], and leads until it is cancelled. */
-    suspend fun run(done: () -> Unit) = coroutineScope {
+    /** Replays what is recorded, says when that is [replayed], and leads until it is cancelled. */
+    suspend fun run(replayed: () -> Unit) = coroutineScope {
         val begun = services.clocks.steadyMs()
         val snapshot = store.load()
         val engine = Engine(
@@ -114,7 +114,7 @@
         if (knownTypes.isNotEmpty()) commands.trySend(Command.TypesListed(knownTypes))
         commands.trySend(Command.ImagesTold(imagesTold))
         ready = true
-        done()
+        replayed()
         log.info(
             "term {}: leading after {} ms of replay; {} jobs open, {} records",
             term.revision, services.clocks.steadyMs() - begun, engine.openJobs, snapshot.records.size,
--- a/src/main/kotlin/cleathitch/state/Leadership.kt
+++ b/src/main/kotlin/cleathitch/state/Leadership.kt
@@ -66,6 +66,7 @@
     private val steadyMs: () -> Long,
 ) {
     private var holdBackUntilMs = 0L
+    private var ledLast = 0L
 
     suspend fun run(listener: LeadershipListener): Nothing {
         while (true) {
@@ -82,15 +83,16 @@
             }
             val holder = Holder.of(entry)
             when {
-                holder?.incarnation == incarnation -> {
+                holder?.incarnation == incarnation && entry.revision != ledLast -> {
                     // Won by a transaction whose answer was lost. What is left of its lease isn't known, and after
                     // a standstill it may be nothing: it counts from a renewal, not from this look.
                     val sent = steadyMs()
                     if (state.extend(holder.lease) == Renewal.Held) lead(listener, Term(entry.revision), holder.lease, sent) else delay(ttlMs / 8)
                 }
                 holder?.member == member -> {
-                    // The process that held it is gone, since we are its successor: no need to wait for the lease's end.
-                    log.info("releasing the lease of our predecessor, term {}", entry.revision)
+                    // The process that held it is gone, since we are its successor, or it is a term that we gave up:
+                    // no need to wait for the lease's end. A term is led once, as its names and versions count up from one.
+                    log.info("releasing the lease of term {}", entry.revision)
                     if (!state.release(holder.lease)) delay(ttlMs / 8)
                 }
                 else -> {
@@ -117,6 +119,7 @@
     }
 
     private suspend fun lead(listener: LeadershipListener, term: Term, hold: Long, renewedMs: Long) {
+        ledLast = term.revision
         val lease = Lease(term, heldUntil(renewedMs), steadyMs())
         listener.elected(lease)
         while (true) {
@@ -129,8 +132,9 @@
                 return
             }
             if (steadyMs() - lease.workedMs > ttlMs * STUCK_LEASES) {
-                // Not released: whoever does the work may be in the middle of an answer, and goes by the clock.
-                return listener.deposed(lease, "nothing gets on here")
+                // It runs out and isn't released: whoever does the work may be in the middle of an answer, and goes by the clock.
+                listener.deposed(lease, "nothing gets on here")
+                return delay(ttlMs)
             }
             val sent = steadyMs()
             when (state.extend(hold)) {
--- /dev/null
+++ b/src/test/kotlin/cleathitch/state/LeadershipTest.kt
@@ -0,0 +1,70 @@
+package cleathitch.state
+
+import cleathitch.Platform
+import cleathitch.http.Address
+import io.vertx.core.Vertx
+import io.vertx.kotlin.coroutines.dispatcher
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.launch
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Elections against a state service over HTTP. */
+class LeadershipTest {
+    private val platform = Platform()
+    private val vertx = Vertx.vertx()
+    private val scope = CoroutineScope(vertx.dispatcher())
+    private val elected = LinkedBlockingQueue<Lease>()
+
+    @AfterEach
+    fun stop() {
+        scope.cancel()
+        vertx.close()
+        platform.stop()
+    }
+
+    private fun compete() {
+        val leadership = Leadership(
+            StateClient(vertx, Address("127.0.0.1", platform.port), timeoutMs = 500), "n0", "one", ttlMs = 1000, "leader/cleathitch",
+        ) { TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) }
+        val listener = object : LeadershipListener {
+            override fun elected(lease: Lease) {
+                elected += lease
+            }
+            override fun deposed(lease: Lease, reason: String) = Unit
+            override fun leaderIs(member: String?, term: Long) = Unit
+        }
+        scope.launch { leadership.run(listener) }
+    }
+
+    private fun next(): Lease = elected.poll(30, TimeUnit.SECONDS) ?: throw AssertionError("nobody was elected")
+
+    /**
+     * A term's rentals are named by counting from nought, and its versions rise from the term's own. A node that gave
+     * a term up, and couldn't end its lease, once found the key to be its own and led the same term anew.
+     */
+    @Test
+    fun `a term that was given up isn't led again`() {
+        compete()
+        val first = next()
+        platform.losesReleases = true
+        first.resign("for the test", handOver = false)
+        val second = next()
+        assertTrue(second.term.revision > first.term.revision) { "${second.term} after ${first.term}" }
+    }
+
+    /** Else a process whose work stands still would keep everybody from leading, for as long as it renews. */
+    @Test
+    fun `a leader whose work doesn't get on gives up, and its lease isn't held beyond its time`() {
+        compete()
+        val first = next()
+        // Nobody tells it that the work gets on.
+        val second = next()
+        assertTrue(second.term.revision > first.term.revision)
+        assertTrue(first.heldUntilMs <= TimeUnit.NANOSECONDS.toMillis(System.nanoTime()))
+    }
+}
