Patience of arrays and packing of services are taken back

Ordinary machines that arrays left idle were also the room on the spot for services, and packed services fall together with their machine.

--- a/src/main/kotlin/cleathitch/core/Engine.kt
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -596,36 +596,25 @@
         }
         val usable = fleet.machines.values.filter(::usable)
         val look = placement.Look(usable, now.steadyMs)
-        val stuck = HashSet<Pair<PlacementClass, Boolean>>()
+        val stuck = HashSet<PlacementClass>()
         val lacking = ArrayList<Lack>()
-        val forecast = Forecast(fleet, ledger, aims)
-        val late = demands.filter { it.late > 0 }.mapTo(HashSet()) { it.shape }
-        val spotUsable = usable.any { it.offer.spot }
         val jobs = Queue(aims, quota, now.wallMs).order(waiting)
         // However long the queue, each job begins in time: overdue ones get their first task before the rest.
-        for (job in jobs) if (Queue.overdue(job, now.wallMs)) place(job, look, stuck, lacking, patient = false, most = 1)
+        for (job in jobs) if (Queue.overdue(job, now.wallMs)) place(job, look, stuck, lacking, most = 1)
         lacking.clear()
-        for (job in jobs) {
-            val patient = spotUsable && job.spec.placementClass !in late && isPatient(job, forecast)
-            place(job, look, stuck, lacking, patient)
-        }
-        demands = forecast.demands(lacking)
+        for (job in jobs) place(job, look, stuck, lacking)
+        demands = Forecast(fleet, ledger, aims).demands(lacking)
         looks += look.looks
     }
 
-    /** For a part of the time that it can spare an array waits for the cheap kind of machine; the dear ones go back meanwhile. */
-    private fun isPatient(job: Job, forecast: Forecast) = job.spec.kind == JobKind.ARRAY && job.spec.spotAllowed &&
-        now.wallMs - job.wallMs < forecast.slackS(job.spec) * 1000 * PATIENCE
-
     private fun usable(machine: Machine) = machine.state == MachineState.UP && machine.noticeAtMs == null &&
         machine.fullUntilMs <= now.steadyMs && machine.confirmed && !machine.deaf && quietMs(machine) < tuning.probeMs
 
     private fun place(
         job: Job,
         look: Placement.Look,
-        stuck: MutableSet<Pair<PlacementClass, Boolean>>,
+        stuck: MutableSet<PlacementClass>,
         lacking: MutableList<Lack>,
-        patient: Boolean,
         most: Int = Int.MAX_VALUE,
     ) {
         val shape = job.spec.placementClass
@@ -634,10 +623,10 @@
         while (placed < most) {
             val index = job.nextWaiting() ?: return
             if (!quota.allows(job.spec)) return
-            val machine = if (shape to patient in stuck) null else look.choose(job, patient)
+            val machine = if (shape in stuck) null else look.choose(job)
             if (machine == null) {
                 // What fits nowhere for one job fits nowhere for its like, unless other tasks of the job decide.
-                if (!job.spec.oneZone && !job.spec.spread) stuck += shape to patient
+                if (!job.spec.oneZone && !job.spec.spread) stuck += shape
                 val count = minOf(job.waiting, quota.roomFor(job.spec))
                 val left = count - preempt(job, look, count)
                 if (left > 0) lacking += Lack(job.spec, left)
@@ -742,9 +731,6 @@
         const val DEAF_SHARE = 10
         const val FEW_DEAF = 2
 
-        /** Of an array's slack; the rest is for what comes between, such as a machine that is lost. */
-        const val PATIENCE = 0.5
-
         /** Rounds wait while more records than these wait to be written. */
         const val MOST_BACKLOG = 2
 
--- a/src/main/kotlin/cleathitch/core/Placement.kt
+++ b/src/main/kotlin/cleathitch/core/Placement.kt
@@ -12,13 +12,10 @@
         var cpus = type.cpus - (load?.cpus ?: 0.0)
         var gpus = type.gpus - (load?.gpus ?: 0.0)
         var memoryGb = type.memoryGb - (load?.memoryGb ?: 0.0)
-        private val wholeCpus = type.cpus
-
-        /** What services hold stays for long. */
-        private val lasting = attempts.sumOf { if (it.job.spec.kind == JobKind.SERVICE) it.job.spec.cpus else 0.0 }
+        val wholeCpus = type.cpus
 
         /** A machine that a service keeps is paid for anyway: what is free of it costs nothing. */
-        val kept = lasting > 0
+        val kept = attempts.any { it.job.spec.kind == JobKind.SERVICE }
 
         /** Images on their way here, which share the machine's rate. */
         val coming: Set<String> = if (attempts.isEmpty()) {
@@ -27,16 +24,6 @@
             attempts.mapNotNullTo(HashSet()) { a -> a.job.spec.image.takeIf { a.runningSinceMs == null && !machine.hasImage(it) } }
         }
 
-        /**
-         * How much of the machine the task would leave, between 0 and 1. For a service only what stays counts: put
-         * where arrays left the tightest gap, services once ended up thinly spread over all large machines.
-         */
-        fun slack(shape: PlacementClass) =
-            ((if (shape.kind == JobKind.SERVICE) wholeCpus - lasting else cpus) - shape.cpus) / wholeCpus
-
-        /** Costs more than the kind of machine meant for the work, and would otherwise go back. */
-        fun isDear(shape: PlacementClass) = shape.spotAllowed && !machine.offer.spot && !kept
-
         fun fits(shape: PlacementClass) = Fleet.slots(shape, cpus, gpus, memoryGb) > 0
 
         fun take(shape: PlacementClass) {
@@ -71,8 +58,7 @@
         var looks = 0L
             private set
 
-        /** A [patient] job waits for the kind of machine meant for it. */
-        fun choose(job: Job, patient: Boolean): Machine? {
+        fun choose(job: Job): Machine? {
             val shape = job.spec.placementClass
             val zones = zonesFor(job)
             var best: Ranked? = null
@@ -83,7 +69,6 @@
                 if (best == null || list.costs[list.next] < best.costs[best.next]) best = list
             }
             val room = best?.let { it.rooms[it.next] } ?: return null
-            if (patient && room.isDear(shape)) return null
             room.take(shape)
             return room.machine
         }
@@ -218,9 +203,9 @@
             shape.image in room.coming -> FETCH / 2
             else -> FETCH * (1 + room.coming.size)
         }
-        val kind = if (room.isDear(shape)) OTHER_KIND else 0.0
+        val kind = if (shape.spotAllowed && !machine.offer.spot && !room.kept) OTHER_KIND else 0.0
         val spare = if (shape.kind != JobKind.SERVICE && room.kept) -1.0 else 0.0
-        return fetch + kind + spare + room.slack(shape) + machine.faults
+        return fetch + kind + spare + (room.cpus - shape.cpus) / room.wholeCpus + machine.faults
     }
 
     /** The processor time that is lost when the attempt is stopped, about. */
