--- a/src/main/kotlin/cleathitch/core/Forecast.kt
+++ b/src/main/kotlin/cleathitch/core/Forecast.kt
@@ -56,7 +56,7 @@
      * For how long a task may wait in the queue: what its run and its image leave of its class's first aim
      * that it can meet. One that meets none has all the time of the last: a machine more wouldn't help it.
      */
-    fun slackS(spec: JobSpec): Double {
+    private fun slackS(spec: JobSpec): Double {
         if (spec.kind != JobKind.ARRAY) return 0.0
         val fetchS = spec.imageGb / (fleet.types.values.maxOfOrNull { it.fetchGbPerS } ?: return 0.0)
         val aims = aims[spec.className] ?: listOf(spec.deadlineS ?: return 0.0)
