--- /dev/null
+++ b/src/test/kotlin/cleathitch/protocol/CodecTest.kt
@@ -0,0 +1,124 @@
+package cleathitch.protocol
+
+import cleathitch.core.AttemptId
+import cleathitch.core.ExitReason
+import cleathitch.core.HeldImages
+import cleathitch.core.JobId
+import cleathitch.core.MachineId
+import cleathitch.core.Order
+import cleathitch.core.OrderVersion
+import cleathitch.core.ReportedTask
+import cleathitch.core.TaskId
+import cleathitch.core.TaskState
+import cleathitch.peers.PeerCodec
+import cleathitch.peers.PeerRequest
+import com.fasterxml.jackson.databind.ObjectMapper
+import com.fasterxml.jackson.databind.node.ArrayNode
+import com.fasterxml.jackson.databind.node.ObjectNode
+import kotlinx.serialization.SerializationException
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.TestFactory
+
+/** What workers, cloud, state service and peers send: read as the page says, and garbled messages told as such. */
+class CodecTest {
+    private val json = ObjectMapper()
+    private fun node(text: String) = json.readTree(text) as ObjectNode
+
+    /** A message, how it is read, and the fields without which it means nothing; `a.b` is a field of each item of list `a`. */
+    private class Row(val name: String, val text: String, val needed: List<String>, val read: (ByteArray) -> Any?)
+
+    private val rows = listOf(
+        Row(
+            "report",
+            """{"burro":"vm-000231","addr":"10.1.0.232:9000","hornada":"g8","comarca":"a","prestados":true,"jornada":1,"folio":88,"vara":41,
+                "avisoS":null,"tareas":[{"tarea":"j-000412/3","intento":2,"estado":"running"}]}""",
+            listOf("burro", "addr", "hornada", "comarca", "prestados", "jornada", "folio", "vara", "tareas", "tareas.tarea", "tareas.intento", "tareas.estado"),
+            WorkerWire::report,
+        ),
+        Row(
+            "machine types",
+            """{"hornadas":[{"label":"g8","vcpus":96,"gpus":8,"memoryGb":768,"localGb":200,"fetchGbPerS":1.0,"rate":12.0,"spotPrice":4.5,
+                "bootS":45,"comarcas":["a","b"]}]}""",
+            listOf("hornadas", "hornadas.label", "hornadas.vcpus", "hornadas.memoryGb", "hornadas.rate", "hornadas.bootS", "hornadas.comarcas"),
+            CloudWire::types,
+        ),
+        Row(
+            "machines",
+            """{"burros":[{"nameId":"vm-000231","addr":"10.1.0.232:9000","hornada":"g8","comarca":"a","prestados":true,"estado":"running",
+                "heldS":61.5}],"truncated":false}""",
+            listOf("burros", "truncated", "burros.nameId", "burros.addr", "burros.hornada", "burros.prestados", "burros.estado", "burros.heldS"),
+            CloudWire::page,
+        ),
+        Row("rental", """{"burros":["vm-000231"]}""", listOf("burros"), CloudWire::rented),
+        Row(
+            "keys",
+            """{"entries":[{"k":"a/b","data":{"x":1},"retoque":412}],"truncated":true,"asiento":431}""",
+            listOf("entries", "truncated", "asiento", "entries.k", "entries.data", "entries.retoque"),
+            StateWire::page,
+        ),
+        Row("revision", """{"asiento":432}""", listOf("asiento"), StateWire::revision),
+        Row("failed keys", """{"failed":["a/b"],"asiento":431}""", listOf("failed"), StateWire::failedKeys),
+        Row("lease", """{"arriendo":7}""", listOf("arriendo"), StateWire::lease),
+    )
+
+    @TestFactory
+    fun `each message is read, and without a needed field it is malformed`() = rows.flatMap { row ->
+        val good = DynamicTest.dynamicTest("${row.name} is read, with fields that nobody knows") {
+            row.read(Wire.encode(node(row.text).put("later", 1)))
+        }
+        listOf(good) + row.needed.flatMap { field ->
+            listOf("missing" to null, "of another type" to json.readTree("""[{"x":"y"}]""")).map { (how, value) ->
+                DynamicTest.dynamicTest("${row.name}: $field $how") {
+                    val broken = node(row.text)
+                    val (holder, name) = if ('.' in field) broken.get(field.substringBefore('.'))[0] as ObjectNode to field.substringAfter('.') else broken to field
+                    if (value == null) holder.remove(name) else holder.set<ObjectNode>(name, if (name == "data") json.nullNode() else value)
+                    assertThrows(Malformed::class.java) { row.read(Wire.encode(broken)) }
+                }
+            }
+        }
+    }
+
+    @TestFactory
+    fun `what isn't one whole map is malformed`() = rows.flatMap { row ->
+        val whole = Wire.encode(node(row.text))
+        listOf("empty" to ByteArray(0), "cut short" to whole.copyOf(whole.size - 1), "trailing bytes" to whole + 1, "a list" to byteArrayOf(0x90.toByte()))
+            .map { (how, bytes) -> DynamicTest.dynamicTest("${row.name}: $how") { assertThrows(Malformed::class.java) { row.read(bytes) } } }
+    }
+
+    @Test
+    fun `states and reasons of tasks are read by their names`() {
+        fun task(fields: String) = WorkerWire.report(
+            Wire.encode(node(rows[0].text).also { (it.get("tareas") as ArrayNode).removeAll().add(node("""{"tarea":"j-000412/3","intento":2,$fields}""")) }),
+        ).tasks.single()
+        val id = AttemptId(TaskId(JobId("j-000412"), 3), 2)
+        assertEquals(ReportedTask(id, TaskState.FETCHING), task(""""estado":"pulling""""))
+        assertEquals(ReportedTask(id, TaskState.SAVING), task(""""estado":"flushing""""))
+        assertEquals(ReportedTask(id, TaskState.EXITED, ExitReason.STOPPED, saved = true), task(""""estado":"exited","motivo":"halted","kept":true"""))
+        assertEquals(ReportedTask(id, TaskState.EXITED, null), task(""""estado":"exited","motivo":"later known""""))
+        assertThrows(Malformed::class.java) { task(""""estado":"dancing"""") }
+    }
+
+    @Test
+    fun `orders are written as the page shows them`() {
+        val id = AttemptId(TaskId(JobId("j-000412"), 4), 2)
+        val body = WorkerWire.direct(OrderVersion(41), 1, listOf(Order.Start(id), Order.Stop(id, 10.0), Order.Forget(id)))
+        val shown = node(
+            """{"vara":41,"ordenes":[{"orden":"run","tarea":"j-000412/4","intento":2},{"orden":"stop","tarea":"j-000412/4","intento":2,"graciaS":10.0},
+                {"orden":"clear","tarea":"j-000412/4","intento":2}],"jornada":1}""",
+        )
+        assertEquals(json.readTree(shown.toString()), json.readTree(Wire.decodeMap(body).toString()))
+    }
+
+    @Test
+    fun `peers understand each other, and garbled requests are told as such`() {
+        val held = mapOf(MachineId("vm-1") to HeldImages(2, mapOf("a" to 1.5, "b" to 0.5)), MachineId("vm-2") to HeldImages(1, mapOf("b" to 0.5)))
+        val part = PeerRequest.Images.of(held).single()
+        assertEquals(held, (PeerCodec.decodeRequest(PeerCodec.encode(part)) as PeerRequest.Images).held())
+        val leads = PeerRequest.Leads("n0", "n0", 9)
+        assertEquals(leads, PeerCodec.decodeRequest(PeerCodec.encode(leads)))
+        assertThrows(SerializationException::class.java) { PeerCodec.decodeRequest(byteArrayOf(1, 2, 3)) }
+    }
+}
