--- a/src/main/kotlin/cleathitch/Node.kt
+++ b/src/main/kotlin/cleathitch/Node.kt
@@ -4,7 +4,6 @@
 import cleathitch.core.HeldImages
 import cleathitch.core.MachineId
 import cleathitch.core.MachineType
-import cleathitch.core.OrderVersion
 import cleathitch.core.Report
 import cleathitch.core.Term
 import cleathitch.core.UserReply
@@ -20,6 +19,7 @@
 import cleathitch.state.LeadershipListener
 import cleathitch.state.StateClient
 import cleathitch.state.Store
+import cleathitch.workers.Redirects
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -58,10 +58,7 @@
     private val leaderFound = CompletableDeferred<Unit>()
     private var types: List<MachineType> = emptyList()
     private val imagesTold = HashMap<MachineId, HeldImages>()
-    private val redirects = HashMap<MachineId, Redirect>()
-
-    /** To which leader a worker was sent, and when. */
-    private class Redirect(val leader: String, val atMs: Long)
+    private val redirects = Redirects(reportMs)
 
     /** Takes part in the election, and returns once there is a leader, or there seems to be none soon. */
     suspend fun start() {
@@ -231,22 +228,12 @@
         }
         leading?.let { return beatHere(it, report, relayed = false) }
         val name = leader ?: return HttpReply(503)
-        val now = clocks.steadyMs()
-        val sent = redirects[report.machine]?.takeIf { it.leader == name }
-        val sentLately = sent != null && now - sent.atMs < reportMs * RELAY_REPORTS
-        if (!sentLately) {
-            if (redirects.size > MOST_REDIRECTED) redirects.clear()
-            redirects[report.machine] = Redirect(name, now)
-        }
-        // It was sent to this leader and came back, or this leader has answered it before: the way there is cut.
-        // Without a look at the leader, every worker that an election sent twice would have stayed with a follower.
-        val cutOff = sentLately || leaderTerm > 0 && report.version >= OrderVersion.first(leaderTerm)
-        if (!cutOff) return HttpReply(421, WorkerWire.elsewhere(name))
+        val way = redirects.wayOf(report, name, leaderTerm, clocks.steadyMs())
+        if (way == Redirects.Way.TO_LEADER) return HttpReply(421, WorkerWire.elsewhere(name))
         val reply = peerAddresses[name]?.let { peers.ask(it, PeerRequest.WorkerReport(body), FORWARD_MS) }
         return when {
             reply == null || reply.status != 200 -> HttpReply(503)
-            // The way may be whole again. The leader has this report meanwhile, so it doesn't miss the worker.
-            sent != null && !sentLately -> HttpReply(421, WorkerWire.elsewhere(name))
+            way == Redirects.Way.RELAY_THEN_TO_LEADER -> HttpReply(421, WorkerWire.elsewhere(name))
             else -> HttpReply(200, reply.body)
         }
     }
@@ -293,9 +280,6 @@
         /** Under what users wait for a poll's answer. */
         private const val FORWARD_MS = 1800L
 
-        /** A worker that comes back within so many report periods couldn't reach the leader; after that it tries again. */
-        private const val RELAY_REPORTS = 5
-
         /** An election takes one lease, its replay, and the leader's first word to its peers. */
         private const val ELECTION_LEASES = 3
 
@@ -304,6 +288,5 @@
 
         /** Machines come and go; what was told of the present ones comes again soon. */
         private const val MOST_IMAGES_TOLD = 10_000
-        private const val MOST_REDIRECTED = 100_000
     }
 }
