Cancellations go to machines with their commit; what no report or answer passes gets nothing

Machines whose reports reach nobody were used on, as they answer direct questions, and a whole fleet of them was returned at the end of one lease. Also: a later session shows orders for an earlier one to be void, so tasks on machines that hear nothing count no longer than they run; a machine that was listed as running and taken before its first report no longer stands for room for ever; a task that another attempt has done isn't started again after a take-over.

--- a/src/main/kotlin/cleathitch/core/Engine.kt
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -1,5 +1,7 @@
 package cleathitch.core
 
+import java.util.TreeMap
+
 /**
  * The leader's mind during one term: takes commands in batches and yields effects. It has no clock,
  * no randomness and no connections of its own.
@@ -30,6 +32,9 @@
         override fun leaseHeld() = this@Engine.leaseHeld()
         override fun stalled() = writeSinceMs?.let { now.steadyMs - it > tuning.stallMs } == true
         override fun append(event: Event) = this@Engine.append(event)
+        override fun stopAfter(seq: Seq, attempts: Collection<Attempt>) {
+            toStop.getOrPut(seq) { ArrayList() } += attempts
+        }
         override fun emit(effect: Effect) {
             effects += effect
         }
@@ -39,6 +44,14 @@
 
     /** Machines to which new orders go as soon as a record is committed. */
     private val toPush = HashMap<Seq, MutableSet<MachineId>>()
+
+    /**
+     * Cancelled attempts whose stops go out once the record is committed, and the machines to which they then go, a
+     * few at a time. Left to each machine's next report, a task that was just fetching its image began after its
+     * user had been told; and where an outage follows at once, only leases would end what runs.
+     */
+    private val toStop = TreeMap<Seq, MutableList<Attempt>>()
+    private val stopsDue = LinkedHashSet<MachineId>()
     private val rentSentAtMs = HashMap<String, Long>()
     private val returnSentAtMs = HashMap<MachineId, Long>()
 
@@ -109,6 +122,7 @@
         ledger.jobs.forEach { job ->
             // An older leader's orders may still be on their way, under versions below this term's first.
             job.live.values.forEach { it.inherited = version }
+            job.live.values.forEach { if (job.done[it.id.task.index]) it.stop = StopCause.STRAY }
             job.stopIfOver()
         }
     }
@@ -130,6 +144,7 @@
             if (now.steadyMs - lastWatchMs >= tuning.roundMs) {
                 lastWatchMs = now.steadyMs
                 watchMachines()
+                if (leaseHeld()) sendStops()
                 sendFleetOrders()
                 tellImages()
             }
@@ -212,6 +227,11 @@
         journal.committed(command.seq)
         writeSinceMs = null
         version = maxOf(version, OrderVersion.first(command.revision))
+        while (toStop.isNotEmpty() && toStop.firstKey() <= journal.committed) {
+            // What doesn't run yet goes first: its stop can still forestall the start.
+            toStop.pollFirstEntry().value.sortedBy { it.seen == TaskState.RUNNING }.mapTo(stopsDue) { it.machine }
+        }
+        sendStops()
         users.committed()
         val machines = toPush.filterKeys { it <= journal.committed }
         machines.keys.forEach(toPush::remove)
@@ -219,6 +239,13 @@
         sendFleetOrders()
     }
 
+    /** What is left over goes with the next round or the machine's next report, whichever is first. */
+    private fun sendStops() {
+        val due = stopsDue.take(MOST_PROBES)
+        stopsDue.removeAll(due.toSet())
+        due.forEach { id -> fleet.machines[id]?.let { if (it.lastHeardMs == null) probe(it) else push(it) } }
+    }
+
     // ---- what the term allows
 
     private fun mayAnswerMachines() = now.steadyMs < heldUntilMs + tuning.graceMs
@@ -244,7 +271,8 @@
         machine.answersLost = if (report.version < machine.answered) machine.answersLost + 1 else 0
         val orders = ordersFor(machine)
         if (orders.isNotEmpty()) version = version.next()
-        noteSent(orders)
+        noteSent(machine, orders)
+        stopsDue -= machine.id
         machine.answered = version
         effects += Effect.AnswerReport(request, version, orders)
     }
@@ -282,6 +310,7 @@
         machine.reported = report.tasks
         if (machine.state == MachineState.STARTING) {
             machine.state = MachineState.UP
+            machine.missedSinceMs = now.steadyMs
             machine.idleSinceMs = now.steadyMs
             note(NoteLevel.INFO) { "machine ${machine.id} ${machine.offer} is up" }
         }
@@ -320,7 +349,8 @@
         for (attempt in ledger.attemptsOn(machine.id).toList()) {
             if (attempt.id in shown) continue
             attempt.seen = null
-            if (attempt.stop != null && orders.surelyGone(attempt, machine)) over(attempt)
+            // Left to a machine that our answers don't reach, a task would wait there for as long as the way is cut.
+            if ((attempt.stop != null || !attended(machine)) && orders.surelyGone(attempt, machine)) over(attempt)
         }
         orders.shown(machine.id, shown)
         if (ledger.attemptsOn(machine.id).isNotEmpty()) machine.idleSinceMs = now.steadyMs
@@ -386,8 +416,13 @@
 
     private fun ordersFor(machine: Machine) = if (version.countLeft == 0L) emptyList() else orders.of(machine)
 
-    private fun noteSent(orders: List<Order>) {
-        for (order in orders) if (order is Order.Start) ledger.attempt(order.attempt)?.sent = version
+    private fun noteSent(machine: Machine, orders: List<Order>) {
+        for (order in orders) if (order is Order.Start) {
+            ledger.attempt(order.attempt)?.let {
+                it.sent = version
+                it.sentSession = machine.session
+            }
+        }
     }
 
     private fun push(machine: Machine) {
@@ -396,7 +431,7 @@
         val orders = ordersFor(machine)
         if (orders.isEmpty()) return
         version = version.next()
-        noteSent(orders)
+        noteSent(machine, orders)
         effects += Effect.Push(machine.id, addr, machine.session, version, orders)
     }
 
@@ -422,6 +457,7 @@
         }
         if (leaseHeld() && now.steadyMs - startedMs < tuning.takeOverMs) askUnheard()
         if (!settled()) return
+        fleet.machines.values.forEach(::missIfRunning)
         handOverIfCutOff()
         if (stepped) return
         findSilent()
@@ -466,11 +502,12 @@
         silent.forEach { if (!silence.excuses(it)) retire(it.id, "it is silent") }
         silence.quiet.filter { it.state == MachineState.UP && now.steadyMs - it.probedMs >= tuning.probeGapMs }
             .take(MOST_PROBES).forEach(::probe)
-        // It answers, but its own reports reach nobody: its lease has run out, and nothing can run there.
-        for (machine in up) {
+        // It answers, but its own reports reach nobody: its lease has run out, and nothing can run there. Most of them
+        // at once are no more to blame than machines that say nothing: a fleet that answered was once returned whole.
+        val mute = Silence(up) { unheardMs(it) >= tuning.silentMs }
+        for (machine in mute.quiet) {
             if (machine.state != MachineState.UP) continue
-            val unheardMs = now.steadyMs - maxOf(machine.lastReportMs ?: machine.missedSinceMs, listeningSinceMs)
-            if (unheardMs >= if (silence.excuses(machine)) tuning.lostMs * 2 else tuning.lostMs) retire(machine.id, "its reports don't arrive")
+            if (unheardMs(machine) >= if (mute.excuses(machine)) tuning.lostMs * 2 else tuning.lostMs) retire(machine.id, "its reports don't arrive")
         }
         if (now.steadyMs - startedMs >= tuning.lostMs) {
             ledger.machinesInUse.filter { it !in fleet.machines && it !in fleet.retired }
@@ -487,6 +524,15 @@
         missing.filter { it.deaf }.forEach { retire(it.id, "no answer reaches it") }
     }
 
+    /** For how long no report of the machine could be answered, whatever it said to direct questions. */
+    private fun unheardMs(machine: Machine) = now.steadyMs - maxOf(machine.lastReportMs ?: machine.missedSinceMs, listeningSinceMs)
+
+    /**
+     * Whether reports and answers pass between the machine and us, as far as is known. Where they don't, leases run out
+     * though direct orders arrive, and what is started there dies with the next.
+     */
+    private fun attended(machine: Machine) = !machine.deaf && unheardMs(machine) < tuning.silentMs
+
     private fun quietMs(machine: Machine) = now.steadyMs - maxOf(machine.lastHeardMs ?: machine.missedSinceMs, listeningSinceMs)
 
     private fun retire(id: MachineId, reason: String) {
@@ -518,17 +564,24 @@
         )
         machine.listedRunning = listed.state == ListedState.RUNNING
         if (machine.addr == null) machine.addr = listed.addr
-        // Tasks may run there though it never reported in this term: it can be missed like any other.
-        val missed = ledger.attemptsOn(machine.id).isNotEmpty() || now.steadyMs - startedMs >= tuning.lostMs
-        if (listed.state == ListedState.RUNNING && machine.state == MachineState.STARTING && missed) {
-            machine.missedSinceMs = now.steadyMs
-            machine.state = MachineState.UP
-        }
+        missIfRunning(machine)
         if (listed.state == ListedState.FAILED && machine.state != MachineState.RETIRED && settled()) {
             retire(machine.id, "it has failed")
         }
     }
 
+    /**
+     * A machine that runs by the cloud's word is missed like any other, though it never reported in this term: at
+     * once if tasks may run there, else when all have had time. This is looked at not only when it is listed: one that
+     * is taken before its first report isn't listed again, and would count as on its way for ever.
+     */
+    private fun missIfRunning(machine: Machine) {
+        if (machine.state != MachineState.STARTING || !machine.listedRunning) return
+        if (ledger.attemptsOn(machine.id).isEmpty() && now.steadyMs - startedMs < tuning.lostMs) return
+        machine.missedSinceMs = now.steadyMs
+        machine.state = MachineState.UP
+    }
+
     private fun rentalAnswered(command: Command.RentalAnswered) {
         rentSentAtMs.remove(command.request)
         fleetSeqs.remove(command.request)
@@ -608,7 +661,7 @@
     }
 
     private fun usable(machine: Machine) = machine.state == MachineState.UP && machine.noticeAtMs == null &&
-        machine.fullUntilMs <= now.steadyMs && machine.confirmed && !machine.deaf && quietMs(machine) < tuning.probeMs
+        machine.fullUntilMs <= now.steadyMs && machine.confirmed && attended(machine) && quietMs(machine) < tuning.probeMs
 
     private fun place(
         job: Job,
--- a/src/main/kotlin/cleathitch/core/Ledger.kt
+++ b/src/main/kotlin/cleathitch/core/Ledger.kt
@@ -18,6 +18,9 @@
     /** The version of the last message that carried the start, null while none was sent by this leader. */
     var sent: OrderVersion? = null
 
+    /** The machine's session for which this leader last sent the start. */
+    var sentSession = 0L
+
     /** The version up to which an order of an earlier term may still be on its way. */
     var inherited: OrderVersion? = null
     var stop: StopCause? = null
--- a/src/main/kotlin/cleathitch/core/Orders.kt
+++ b/src/main/kotlin/cleathitch/core/Orders.kt
@@ -18,11 +18,14 @@
 
     /**
      * An attempt that a report lacks may yet be started by an order on its way, unless the machine has
-     * seen a higher version than any such order bears.
+     * seen a higher version than any such order bears, or its session began after the last was sent: orders
+     * for an earlier session are dropped. Of a machine that hears nothing, only the latter is ever seen.
      */
     fun surelyGone(attempt: Attempt, machine: Machine): Boolean {
         val newest = attempt.newestStart ?: return true
-        return machine.version > newest
+        if (machine.version > newest) return true
+        // For which session an older leader sent it isn't known.
+        return attempt.inherited == null && attempt.sentSession < machine.session
     }
 
     /** The orders that bring the machine from what its newest report shows to what is intended. */
--- a/src/main/kotlin/cleathitch/core/Users.kt
+++ b/src/main/kotlin/cleathitch/core/Users.kt
@@ -8,6 +8,9 @@
     /** The state service leaves a commit without an answer for long. */
     fun stalled(): Boolean
     fun append(event: Event): Seq
+
+    /** The stops of these attempts go out as soon as the record is committed. */
+    fun stopAfter(seq: Seq, attempts: Collection<Attempt>)
     fun emit(effect: Effect)
 }
 
@@ -92,8 +95,9 @@
         val job = ledger.job(id) ?: return answer(request, UserReply.NotFound)
         if (!job.over) {
             if (leading.stalled()) return answer(request, UserReply.NotNow("the state service doesn't answer"))
-            leading.append(Event.JobCancelled(id))
+            val seq = leading.append(Event.JobCancelled(id))
             job.stopIfOver()
+            leading.stopAfter(seq, job.live.values)
             leading.note(NoteLevel.DEBUG) { "job $id cancelled" }
         }
         val state = if (job.cancelled) ShownState.CANCELLED else ShownState.DONE
--- a/src/test/kotlin/cleathitch/core/EngineTrace.kt
+++ b/src/test/kotlin/cleathitch/core/EngineTrace.kt
@@ -1,13 +1,16 @@
 package cleathitch.core
 
+import cleathitch.protocol.StateWire
 import cleathitch.state.StoredCodec
+import java.util.TreeMap
 
-/** One engine that leads, whose commits succeed at once, and what a test feeds it with. */
-abstract class EngineTrace(private val term: Long = 7, snapshot: Snapshot = Snapshot.EMPTY) {
+/** One engine that leads, whose commits succeed at once unless a test holds them, and what a test feeds it with. */
+abstract class EngineTrace(private var term: Long = 7, snapshot: Snapshot = Snapshot.EMPTY, maxCpus: Double? = null) {
     protected val type = MachineType("m4", 4.0, 0.0, 16.0, 50.0, 1.0, 1.0, 0.4, 5.0, listOf("a", "b"))
-    protected val deployment = World.standard.copy(teams = mapOf("red" to Team("red", 8.0, null, 0.0, null)))
+    protected val deployment = World.standard.copy(teams = mapOf("red" to Team("red", 8.0, maxCpus, 0.0, null)))
     protected val tuning = Tuning.of(deployment)
-    protected val engine = Engine(deployment, tuning, Term(term), snapshot, Moment(0, 0), StoredCodec)
+    protected var engine = Engine(deployment, tuning, Term(term), snapshot, Moment(0, 0), StoredCodec)
+        private set
     protected var nowMs = 0L
         private set
 
@@ -17,17 +20,52 @@
     private var requests = 0L
     protected val commits = ArrayList<Commit>()
 
+    /** While set, the state service takes no transaction. */
+    protected var stateServiceOut = false
+    private val unanswered = ArrayList<Commit>()
+
+    /** What stands in the state service. */
+    private val cells = TreeMap<String, Change.Put>()
+
     protected fun request() = RequestId(++requests)
 
     protected fun step(vararg commands: Command): List<Effect> {
         val effects = engine.handle(commands.toList(), Moment(nowMs, nowMs)).toMutableList()
         effects.filterIsInstance<Effect.Write>().forEach { write ->
-            commits += write.commit
-            effects += step(Command.Committed(write.commit.seq, ++revision))
+            if (stateServiceOut) unanswered += write.commit else effects += carryOut(write.commit)
         }
         return effects
     }
 
+    private fun carryOut(commit: Commit): List<Effect> {
+        commits += commit
+        for (change in commit.changes) when (change) {
+            is Change.Put -> cells[change.key] = change
+            is Change.Delete -> cells.remove(if (change.key.startsWith(Journal.JOB_PREFIX)) change.key.substringBeforeLast('/') else change.key)
+        }
+        return step(Command.Committed(commit.seq, ++revision))
+    }
+
+    /** The state service takes what waits for it. */
+    protected fun stateServiceBack(): List<Effect> {
+        stateServiceOut = false
+        return unanswered.toList().also { unanswered.clear() }.flatMap(::carryOut)
+    }
+
+    /** The leader ends; a successor replays what is recorded, and nothing else is known to it. */
+    protected fun takeOver(): List<Effect> {
+        stateServiceOut = false
+        unanswered.clear()
+        term = ++revision
+        val entries = cells.values.flatMap { put ->
+            StoredCodec.encode(put.value, put.parts).mapIndexed { part, value ->
+                StateWire.Entry(put.key + if (put.value is Stored.OfJob) "/$part" else "", value, revision)
+            }
+        }
+        engine = Engine(deployment, tuning, Term(term), StoredCodec.snapshot(entries), Moment(nowMs, nowMs), StoredCodec)
+        return step(Command.LeaseHeld(Long.MAX_VALUE / 2), Command.TypesListed(listOf(type)))
+    }
+
     protected fun at(ms: Long) {
         nowMs = ms
     }
@@ -49,6 +87,9 @@
         version, null, emptyList(),
     )
 
+    protected fun listed(machine: Int, state: ListedState = ListedState.RUNNING) =
+        ListedMachine(report(machine).machine, "10.0.0.9:1", Offer("m4", report(machine).zone, spot = false), state, ageS = 300.0)
+
     protected fun submit(jobs: Int, tasks: Int) = repeat(jobs) {
         val request = request()
         step(Command.Submit(request, World.job(request.number.toInt(), tasks = tasks)))
--- a/src/test/kotlin/cleathitch/core/RulesTest.kt
+++ b/src/test/kotlin/cleathitch/core/RulesTest.kt
@@ -19,6 +19,13 @@
         "racks that stop and zones that are cut off" to Weather(held = 0.02, rackS = 40.0, zoneS = 40.0, copied = 0.05, killS = 40.0),
         "nodes that stand still" to Weather(held = 0.02, copied = 0.1, standS = 8.0, hangS = 20.0),
         "standstills in elections" to Weather(twice = 0.05, killS = 8.0, standS = 6.0, bounceS = 15.0, zoneS = 60.0, quick = true),
+        "late transactions" to Weather(lateWrites = 0.2, killS = 25.0, cutS = 30.0),
+        "outages and leaders that change" to Weather(held = 0.02, outageS = 25.0, killS = 12.0, cancelNowS = 30.0, quick = true),
+        "machines that reach nobody, or hear nothing" to Weather(muteS = 30.0, deafManyS = 40.0, killS = 30.0, cancelNowS = 40.0),
+        "users who change their minds" to Weather(cancelAtEnd = 0.5, oddS = 2.0, cancelNowS = 30.0, killS = 20.0, hangS = 20.0),
+        "all nodes away" to Weather(held = 0.02, copied = 0.1, awayS = 50.0, cancelNowS = 40.0),
+        "the gap" to Weather(gapAtS = 30.0),
+        "the gap, with held messages and hanging machines" to Weather(held = 0.03, copied = 0.05, hangS = 20.0, gapAtS = 30.0),
         "everything at once" to Weather(0.05, 0.05, 0.05, killS = 25.0, cutS = 30.0, dieS = 20.0, hangS = 15.0, copied = 0.05, deafS = 40.0, bounceS = 30.0, rackS = 60.0, zoneS = 60.0, standS = 30.0),
     )
 
--- a/src/test/kotlin/cleathitch/core/World.kt
+++ b/src/test/kotlin/cleathitch/core/World.kt
@@ -28,6 +28,23 @@
     val standS: Double = 0.0,
     /** Killed nodes are back within a fraction of a second, and may be killed again in the election. */
     val quick: Boolean = false,
+    /** Share of transactions that get no answer and are carried out 2 to 12 s later. */
+    val lateWrites: Double = 0.0,
+    /** Mean time between outages of the state service (a few seconds, now and then beyond a lease). */
+    val outageS: Double = 0.0,
+    /** Mean time between machines that reach no node, while direct orders reach them, and between thirds of the fleet that hear nothing. */
+    val muteS: Double = 0.0,
+    val deafManyS: Double = 0.0,
+    /** Mean time between moments at which users call off several running jobs, whose machines hang then. */
+    val cancelNowS: Double = 0.0,
+    /** Share of jobs that are called off as their last task ends. */
+    val cancelAtEnd: Double = 0.0,
+    /** Mean time between repeated submissions, cancellations of done jobs and jobs that can't run. */
+    val oddS: Double = 0.0,
+    /** Mean time between spells without any node, up to beyond a lease. */
+    val awayS: Double = 0.0,
+    /** When the state service refuses the leader alone, its successor confirms cancellations, and then it is out beyond `cancelS`. */
+    val gapAtS: Double = 0.0,
 )
 
 /**
@@ -89,7 +106,16 @@
     private var headRevision = 0L
     private val cells = TreeMap<String, Cell>()
 
+    /** Until then the state service is out; leases have their full time after that. */
+    private var stateDownUntilMs = 0L
+
+    private fun outage(forMs: Long) {
+        stateDownUntilMs = maxOf(stateDownUntilMs, nowMs + forMs)
+        leaseEndMs = stateDownUntilMs + TTL_MS
+    }
+
     private fun expireLease() {
+        if (nowMs < stateDownUntilMs) return
         if (leaderKey != null && nowMs >= leaseEndMs) {
             leaderKey = null
             leaderNode = null
@@ -126,7 +152,10 @@
         private var term = 0L
         private var head = 0L
         private var life = 0
-        var cutFromState = false
+
+        /** Until then the state service refuses this node alone. */
+        var refusedUntilMs = 0L
+        private val served get() = nowMs >= refusedUntilMs && nowMs >= stateDownUntilMs
 
         /** Until then it does nothing, while its clocks run on; what comes meanwhile waits. */
         var standsUntilMs = 0L
@@ -142,7 +171,7 @@
                 if (life != mine) return
                 if (nowMs < standsUntilMs) return after(standsUntilMs - nowMs, ::loop)
                 expireLease()
-                if (engine == null && leaderKey == null && !cutFromState) elect()
+                if (engine == null && leaderKey == null && served) elect()
                 engine?.let { if (nowMs - lastRenewal >= TTL_MS / 4) renew() }
                 take(Command.Tick)
                 after(200, ::loop)
@@ -150,9 +179,10 @@
             after(random.nextLong(200), ::loop)
         }
 
-        fun kill() {
+        fun kill(awayMs: Long? = null) {
             engine = null
             life++
+            if (awayMs != null) return after(awayMs) { live() }
             after(if (weather.quick) random.nextLong(10, 400) else random.nextLong(200, 4000)) { live() }
             if (weather.quick && random.nextBoolean()) after(random.nextLong(TTL_MS)) { leader?.let { if (!calm) it.kill() } }
         }
@@ -176,7 +206,7 @@
         private fun renew() {
             val sent = steadyMs()
             lastRenewal = nowMs
-            if (cutFromState) return
+            if (!served) return
             val mine = term
             after(random.nextLong(1, 10)) {
                 expireLease()
@@ -210,13 +240,15 @@
             val expected = head
             fun attempt() {
                 if (term != mine || engine == null || inFlight !== commit) return
-                if (!cutFromState && nowMs >= standsUntilMs) {
-                    send {
+                if (served && nowMs >= standsUntilMs) {
+                    val late = !calm && random.nextDouble() < weather.lateWrites
+                    send(if (late) random.nextLong(2000, 12_000) else 0) {
+                        if (!late && nowMs < stateDownUntilMs) return@send
                         val done = transact(mine, expected, commit.changes)
                         val applied = (cells[Journal.HEAD]?.stored as? Stored.Head)?.let { it.seq == commit.seq && it.term.revision == mine } == true
                         val result = done ?: headRevision.takeIf { applied }
                         val refused = result == null
-                        if (calm || random.nextDouble() >= weather.lost) after(random.nextLong(1, 10)) {
+                        if (!late && (calm || random.nextDouble() >= weather.lost)) after(random.nextLong(1, 10)) {
                             if (term == mine && engine != null && inFlight === commit) {
                                 if (refused) {
                                     resign()
@@ -286,8 +318,17 @@
         /** Until then its zone is cut off: what it sends and what is sent to it is held. */
         private val heldMs get() = (cutZones[zone] ?: 0L) - nowMs
 
-        /** Its reports arrive; answers and orders don't reach it. */
-        var deaf = false
+        /** Until then its reports arrive, while answers and orders don't reach it. */
+        var deafUntilMs = 0L
+        private val deaf get() = nowMs < deafUntilMs
+
+        /** Until then it reaches no node, while direct orders reach it. */
+        var muteUntilMs = 0L
+        val cpusUsed get() = tasks.values.filter { it.state != TaskState.EXITED }.sumOf { submitted.getValue(it.id.task.job).spec.cpus }
+        val works get() = nowMs >= hangsUntilMs && !deaf && nowMs >= muteUntilMs
+        fun has(task: TaskId) = tasks.values.any { it.id.task == task && it.state != TaskState.EXITED }
+        fun cpusOf(job: JobId) = tasks.values.count { it.id.task.job == job && it.state != TaskState.EXITED } * submitted.getValue(job).spec.cpus
+        fun runsOf(job: JobId) = tasks.keys.any { it.task.job == job }
         val zone get() = offer.zone
         val spot get() = offer.spot
 
@@ -305,8 +346,8 @@
             after((deployment.reportS * 1000 * random.nextDouble(0.75, 1.25)).toLong(), ::live)
         }
 
-        fun hang() {
-            hangsUntilMs = nowMs + random.nextLong(40_000)
+        fun hang(mostMs: Long = 40_000) {
+            hangsUntilMs = nowMs + random.nextLong(mostMs)
         }
 
         /** Starts anew within a fraction of a second: everything on it is gone, its highest version too. */
@@ -331,7 +372,7 @@
                 if (task.state == TaskState.RUNNING && ends != null && ends <= nowMs) {
                     task.state = TaskState.EXITED
                     task.why = ExitReason.DONE
-                    results += task.id.task
+                    if (results.add(task.id.task)) ended(task.id.task.job)
                 }
             }
         }
@@ -346,6 +387,7 @@
 
         private fun sendReport() {
             val report = report()
+            if (nowMs < muteUntilMs) return
             val sentMs = nowMs
             val request = RequestId(++requests)
             val target = nodes[node]
@@ -477,6 +519,33 @@
         ask()
     }
 
+    private fun ended(id: JobId) {
+        val known = submitted.getValue(id)
+        if ((0 until known.spec.tasks).any { TaskId(id, it) !in results }) return
+        if (random.nextDouble() < weather.cancelAtEnd) after(random.nextLong(200)) { abort(id) }
+    }
+
+    /** Several jobs that run are called off at once, and the machines of some hang just then. */
+    private fun cancelSome(hang: Boolean) {
+        val running = submitted.values.filter { known -> !known.abortAsked && machines.values.any { it.runsOf(known.spec.id) } }
+        for (known in running.shuffled(random).take(4)) {
+            if (hang) machines.values.filter { it.runsOf(known.spec.id) }.forEach { it.hang(mostMs = (deployment.cancelS * 1500).toLong()) }
+            abort(known.spec.id)
+        }
+    }
+
+    /** Repeated submissions, cancellations of what is done, and jobs that can't run. */
+    private fun oddRequests() {
+        submitted.values.filter { it.accepted }.randomOrNull(random)?.let { known -> request(known) { Command.Submit(it, known.spec) } }
+        submitted.values.filter { it.doneTold }.randomOrNull(random)?.let { known -> request(known) { Command.Abort(it, known.spec.id) } }
+        val good = job(900_000 + random.nextInt(100_000))
+        val odd = listOf(good.copy(team = "green"), good.copy(cpus = 99.0), good.copy(types = setOf("m9")), good.copy(zone = "c"), good.copy(kind = JobKind.SERVICE, tasks = 7))
+        val node = nodes.filter { it.engine != null }.randomOrNull(random) ?: return
+        val request = RequestId(++requests)
+        answers[request] = { if (it !is UserReply.NeverRuns && it !is UserReply.NotNow) broken += "accepted though it can't run: $it" }
+        node.take(Command.Submit(request, odd.random(random)))
+    }
+
     private fun request(known: Known, command: (RequestId) -> Command) {
         val node = nodes.filter { it.engine != null }.randomOrNull(random) ?: return
         val request = RequestId(++requests)
@@ -546,6 +615,10 @@
             if (spec.oneZone && byZone.size > 1) broken += "wrong_place: $job in ${byZone.keys}"
             if (byZone.values.any { it > spec.maxPerZone }) broken += "wrong_place: $job spread as $byZone"
         }
+        if (calm && nowMs - lookedForWaitMs >= 1000) {
+            lookedForWaitMs = nowMs
+            lookForWaits()
+        }
         if (calm) {
             submitted.values.firstOrNull { it.accepted && nowMs - maxOf(it.lastAnswerMs, calmSinceMs) > FORGOTTEN_MS }
                 ?.let { broken += "forgotten: nothing is said of ${it.spec.id}" }
@@ -553,6 +626,28 @@
         if (broken.isNotEmpty()) trace += "${nowMs / 1000.0} BROKEN $broken"
     }
 
+    private var lookedForWaitMs = 0L
+    private val waitSinceMs = HashMap<JobId, Long>()
+
+    /** With troubles over, no job waits for long while a machine that fits has room and its team is under its limit. */
+    private fun lookForWaits() {
+        for (known in submitted.values) {
+            val spec = known.spec
+            val ended = known.abortAsked || known.doneTold || !known.accepted
+            val waits = !ended && (0 until spec.tasks).any { i -> TaskId(spec.id, i).let { task -> task !in results && machines.values.none { it.has(task) } } }
+            val zones = machines.values.filter { it.runsOf(spec.id) }.groupingBy { it.zone }.eachCount()
+            val room = machines.values.any { machine ->
+                machine.works && machine.cpusUsed + spec.cpus <= type.cpus && (spec.spotAllowed || !machine.spot) &&
+                    (spec.zone == null || machine.zone == spec.zone) && (!spec.oneZone || zones.keys.all { it == machine.zone }) &&
+                    (zones[machine.zone] ?: 0) < spec.maxPerZone
+            }
+            val used = machines.values.sumOf { machine -> submitted.values.filter { it.spec.team == spec.team }.sumOf { machine.cpusOf(it.spec.id) } }
+            val allowed = deployment.teams.getValue(spec.team).maxCpus?.let { used + spec.cpus <= it } ?: true
+            if (!waits || !room || !allowed) waitSinceMs.remove(spec.id) else waitSinceMs.putIfAbsent(spec.id, nowMs)
+            if (nowMs - (waitSinceMs[spec.id] ?: nowMs) >= WAIT_MS) broken += "left waiting: ${spec.id} though a machine has room"
+        }
+    }
+
     // ---- a day
 
     fun begin() {
@@ -568,12 +663,11 @@
         now(weather.killS) { leader?.kill() }
         now(weather.cutS) {
             leader?.let { node ->
-                node.cutFromState = true
-                after(random.nextLong(1000, 30_000)) { node.cutFromState = false }
+                node.refusedUntilMs = nowMs + random.nextLong(1000, 30_000)
             }
         }
         now(weather.dieS) { machines.keys.randomOrNull(random)?.let(machines::remove) }
-        now(weather.deafS) { machines.values.randomOrNull(random)?.let { it.deaf = true } }
+        now(weather.deafS) { machines.values.randomOrNull(random)?.let { it.deafUntilMs = Long.MAX_VALUE } }
         now(weather.bounceS) { machines.values.randomOrNull(random)?.bounce() }
         now(weather.rackS) { machines.keys.shuffled(random).take(machines.size / 4).forEach(machines::remove) }
         now(weather.zoneS) { cutZones[deployment.zones.random(random)] = nowMs + random.nextLong(5_000, 60_000) }
@@ -581,14 +675,41 @@
             val node = if (random.nextBoolean()) leader ?: nodes.random(random) else nodes.random(random)
             node.standsUntilMs = nowMs + random.nextLong(1000, if (random.nextInt(4) == 0) 50_000 else 6000)
         }
+        now(weather.outageS) { outage(random.nextLong(500, if (random.nextInt(4) == 0) 50_000 else 8000)) }
+        now(weather.muteS) { machines.values.shuffled(random).take(1 + machines.size / 3).forEach { it.muteUntilMs = nowMs + random.nextLong(60_000) } }
+        now(weather.deafManyS) { machines.values.shuffled(random).take(1 + machines.size / 3).forEach { it.deafUntilMs = nowMs + random.nextLong(60_000) } }
+        now(weather.cancelNowS) { cancelSome(hang = true) }
+        now(weather.oddS, ::oddRequests)
+        now(weather.awayS) {
+            val awayMs = random.nextLong((deployment.leaseS * 1300).toLong())
+            nodes.forEach { it.kill(awayMs + random.nextLong(2000)) }
+        }
+        if (weather.gapAtS > 0) after((weather.gapAtS * 1000).toLong(), ::gap)
         now(weather.hangS) { machines.values.randomOrNull(random)?.hang() }
     }
 
+    private fun gap() {
+        val old = leader ?: return after(200, ::gap)
+        old.refusedUntilMs = nowMs + 14_000
+        fun succeeded() {
+            if (leader == null || leaderNode === old || leaderNode?.engine == null) return after(50, ::succeeded)
+            cancelSome(hang = random.nextBoolean())
+            after(random.nextLong(100, 1500)) { outage((deployment.cancelS * 1200).toLong()) }
+        }
+        succeeded()
+    }
+
     /** The weather turns calm: from here on everything must come to its end. */
     fun calmDown() {
         calm = true
         calmSinceMs = nowMs
-        nodes.forEach { it.cutFromState = false }
+        nodes.forEach { it.refusedUntilMs = 0 }
+        stateDownUntilMs = minOf(stateDownUntilMs, nowMs)
+        leaseEndMs = minOf(leaseEndMs, nowMs + TTL_MS)
+        machines.values.forEach { machine ->
+            machine.muteUntilMs = 0
+            if (machine.deafUntilMs != Long.MAX_VALUE) machine.deafUntilMs = 0
+        }
         cutZones.clear()
     }
 
@@ -598,6 +719,9 @@
         /** An accepted job without any answer for so long is forgotten. */
         private const val FORGOTTEN_MS = 75_000L
 
+        /** No job waits for so long beside a machine with room. */
+        private const val WAIT_MS = 90_000L
+
         val standard = Deployment(
             zones = listOf("a", "b"),
             teams = mapOf("red" to Team("red", 8.0, 12.0, 0.0, null), "blue" to Team("blue", 0.0, null, 0.0, null)),
