--- a/src/main/kotlin/cleathitch/core/Engine.kt
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -462,7 +462,7 @@
         if (stepped) return
         findSilent()
         findDeaf()
-        fleet.neverUp(now.steadyMs).forEach { retire(it.id, "it never came up") }
+        fleet.neverUp(now.steadyMs, listeningSinceMs).forEach { retire(it.id, "it never came up") }
     }
 
     /** After a take-over machines come by themselves only with their next reports; those that the cloud lists are asked. */
@@ -637,7 +637,7 @@
      * reported yet, as renting and returning, waits for a report period.
      */
     private fun mayPlace() = leaseHeld() && fleet.types.isNotEmpty()
-    private fun settled() = mayPlace() && (first || now.steadyMs - startedMs >= tuning.takeOverMs)
+    private fun settled() = mayPlace() && (first && listeningSinceMs == startedMs || now.steadyMs - listeningSinceMs >= tuning.takeOverMs)
 
     private fun round() {
         if (now.steadyMs - lastRoundMs < tuning.roundMs || !journal.idle || journal.backlog > MOST_BACKLOG) return
@@ -738,7 +738,7 @@
             }
         }
         if (!settled()) return
-        fleet.idle(now.steadyMs).forEach { retire(it.id, "it is idle") }
+        fleet.idle(now.steadyMs, listeningSinceMs).forEach { retire(it.id, "it is idle") }
     }
 
     private fun tellImages() {
--- a/src/main/kotlin/cleathitch/core/Fleet.kt
+++ b/src/main/kotlin/cleathitch/core/Fleet.kt
@@ -219,18 +219,21 @@
         private fun callsFor(count: Int) = (count + MOST_PER_CALL - 1) / MOST_PER_CALL
     }
 
-    /** Machines that have been idle for longer than it pays to keep them. */
-    fun idle(nowMs: Long): List<Machine> = machines.values.filter { machine ->
+    /**
+     * Machines that have been idle for longer than it pays to keep them. Only time in which they were listened to counts: behind
+     * an outage that ended all leases most of a fleet was once returned, moments before its tasks were to start again.
+     */
+    fun idle(nowMs: Long, listeningSinceMs: Long): List<Machine> = machines.values.filter { machine ->
         val type = machine.type
         type != null && machine.state == MachineState.UP && ledger.attemptsOn(machine.id).isEmpty() &&
             nowMs - machine.rentedAtMs >= MIN_CHARGE_MS &&
-            nowMs - machine.idleSinceMs >= type.bootS * 1000 * IDLE_BOOTS
+            nowMs - max(machine.idleSinceMs, listeningSinceMs) >= type.bootS * 1000 * IDLE_BOOTS
     }
 
     /** Machines that should have come up long ago; one that runs and that a new leader hasn't heard yet is none of them. */
-    fun neverUp(nowMs: Long): List<Machine> = machines.values.filter { machine ->
+    fun neverUp(nowMs: Long, listeningSinceMs: Long): List<Machine> = machines.values.filter { machine ->
         machine.state == MachineState.STARTING && !machine.listedRunning &&
-            nowMs - machine.rentedAtMs >= (machine.type?.bootS ?: deployment.leaseS) * 1000 * LATE_BOOTS
+            nowMs - max(machine.rentedAtMs, listeningSinceMs) >= (machine.type?.bootS ?: deployment.leaseS) * 1000 * LATE_BOOTS
     }
 
     fun allows(shape: PlacementClass, offer: Offer) =
--- a/src/test/kotlin/cleathitch/core/MeetingsTest.kt
+++ b/src/test/kotlin/cleathitch/core/MeetingsTest.kt
@@ -309,6 +309,25 @@
     }
 }
 
+/** Outages of the state service that outlast leases. */
+class OutageMeetingsTest : MeetingTrace() {
+    /** Their tasks ended with their leases and wait to start again there; idle only by the clock, they were returned. */
+    @Test
+    fun `machines whose leases ended in an outage aren't returned as idle when it is over`() {
+        val fleet = List(6) { Machine(it) }
+        step(Command.LeaseHeld(20_000), Command.TypesListed(listOf(type)))
+        repeat(2) { fleet.forEach { it.reports() } }
+        val started = submits(1, tasks = 12) { copy(kind = JobKind.SERVICE) } + settle(rounds = 2)
+        pushes(started).forEach { push -> fleet.first { it.id == push.machine }.obeys(push) }
+        stateServiceOut = true
+        periods((deployment.cancelS / deployment.reportS).toInt() + 10, others = fleet)
+        fleet.forEach { it.losesLease() }
+        val back = step(Command.LeaseHeld(Long.MAX_VALUE / 2)) + stateServiceBack() + periods(3, others = fleet)
+        assertEquals(emptySet<MachineId>(), returned(back))
+        assertEquals(12, starts(back).mapTo(HashSet()) { it.task }.size)
+    }
+}
+
 /** The team's limit is two tasks. */
 class LimitMeetingsTest : MeetingTrace(maxCpus = 4.0) {
     /**
