--- a/src/main/kotlin/cleathitch/LeaderTerm.kt
+++ b/src/main/kotlin/cleathitch/LeaderTerm.kt
@@ -28,7 +28,6 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
 
 /** The clocks of this node. */
@@ -61,8 +60,13 @@
     private val stepDown: (Effect.StepDown) -> Unit,
 ) {
     private val commands = Channel<Command>(Channel.UNLIMITED)
-    private val users = HashMap<RequestId, CompletableDeferred<UserReply>>()
-    private val reports = HashMap<RequestId, CompletableDeferred<Effect.AnswerReport?>>()
+    private class Asked<T>(val sinceMs: Long) {
+        val answer = CompletableDeferred<T?>()
+    }
+
+    /** Open requests, the oldest first; the tick ends those that are too old, as a timer for each cost a tenth of a report's work. */
+    private val users = LinkedHashMap<RequestId, Asked<UserReply>>()
+    private val reports = LinkedHashMap<RequestId, Asked<Effect.AnswerReport>>()
     private var requests = 0L
 
     val term get() = lease.term
@@ -85,23 +89,37 @@
         return ask(reports) { Command.Reported(it, report, relayed) }
     }
 
-    private suspend fun <T> ask(open: HashMap<RequestId, CompletableDeferred<T>>, command: (RequestId) -> Command): T? {
+    private suspend fun <T> ask(open: LinkedHashMap<RequestId, Asked<T>>, command: (RequestId) -> Command): T? {
         val request = RequestId(++requests)
-        val answer = CompletableDeferred<T>()
-        open[request] = answer
+        val asked = Asked<T>(services.clocks.steadyMs())
+        open[request] = asked
         commands.trySend(command(request))
         return try {
-            withTimeoutOrNull(ANSWER_MS) { answer.await() }
+            asked.answer.await()
         } finally {
             open.remove(request)
         }
     }
 
+    private fun <T> endOld(open: LinkedHashMap<RequestId, Asked<T>>) {
+        val oldestMs = services.clocks.steadyMs() - ANSWER_MS
+        open.values.takeWhile { it.sinceMs <= oldestMs }.forEach { it.answer.complete(null) }
+    }
+
+    /** Under overload, what its sender has given up on would only delay the rest. */
+    private fun isAwaited(command: Command) = when (command) {
+        is Command.Submit -> command.request in users
+        is Command.Poll -> command.request in users
+        is Command.Abort -> command.request in users
+        is Command.Reported -> command.request in reports
+        else -> true
+    }
+
     /** Gives every open request its last answer. */
     fun end() {
         ready = false
-        users.values.toList().forEach { it.complete(UserReply.NotNow("not the leader any more")) }
-        reports.values.toList().forEach { it.complete(null) }
+        users.values.toList().forEach { it.answer.complete(UserReply.NotNow("not the leader any more")) }
+        reports.values.toList().forEach { it.answer.complete(null) }
     }
 
     /** Replays what is recorded, says when that is [replayed], and leads until it is cancelled. */
@@ -110,6 +128,11 @@
         val snapshot = store.load()
         val engine = Engine(
             services.deployment, services.tuning, term, snapshot, services.clocks.moment(), StoredCodec,
+            noteLevel = when {
+                log.isDebugEnabled -> NoteLevel.DEBUG
+                log.isInfoEnabled -> NoteLevel.INFO
+                else -> NoteLevel.ERROR
+            },
         )
         if (knownTypes.isNotEmpty()) commands.trySend(Command.TypesListed(knownTypes))
         commands.trySend(Command.ImagesTold(imagesTold))
@@ -130,8 +153,11 @@
             val next = commands.receive()
             lease.worked(services.clocks.steadyMs())
             batch += Command.LeaseHeld(lease.heldUntilMs)
-            batch += next
-            while (true) batch += commands.tryReceive().getOrNull() ?: break
+            if (isAwaited(next)) batch += next
+            while (true) {
+                val more = commands.tryReceive().getOrNull() ?: break
+                if (isAwaited(more)) batch += more
+            }
             val started = System.nanoTime()
             val effects = engine.handle(batch, services.clocks.moment())
             time.record(System.nanoTime() - started, TimeUnit.NANOSECONDS)
@@ -143,11 +169,11 @@
     private fun CoroutineScope.perform(effect: Effect) {
         when (effect) {
             // Decided before a standstill of this process, it must not leave after it: others may lead by now.
-            is Effect.Answer -> users[effect.request]?.complete(
+            is Effect.Answer -> users[effect.request]?.answer?.complete(
                 if (services.clocks.steadyMs() < lease.heldUntilMs) effect.reply else UserReply.NotNow("no lease"),
             )
-            is Effect.AnswerReport -> reports[effect.request]?.complete(effect)
-            is Effect.RefuseReport -> reports[effect.request]?.complete(null)
+            is Effect.AnswerReport -> reports[effect.request]?.answer?.complete(effect)
+            is Effect.RefuseReport -> reports[effect.request]?.answer?.complete(null)
             is Effect.Write -> launch {
                 val revision = store.commit(effect.commit)
                 if (revision == null) stepDown(Effect.StepDown("a transaction was refused")) else commands.send(Command.Committed(effect.commit.seq, revision))
@@ -178,6 +204,8 @@
     private suspend fun tick() {
         while (true) {
             delay(services.tuning.roundMs)
+            endOld(users)
+            endOld(reports)
             commands.send(Command.Tick)
         }
     }
--- a/src/main/kotlin/cleathitch/core/Engine.kt
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -16,6 +16,8 @@
     snapshot: Snapshot,
     start: Moment,
     sizes: Journal.Sizes,
+    /** Notes below this level aren't written at all: a text for each task's each step is work, too. */
+    private val noteLevel: NoteLevel = NoteLevel.DEBUG,
 ) {
     private val ledger = Ledger()
     private val fleet = Fleet(deployment, ledger)
@@ -38,6 +40,7 @@
         override fun emit(effect: Effect) {
             effects += effect
         }
+        override fun notes(level: NoteLevel) = level <= noteLevel
     }
     private val users = Users(leading, ledger, journal, fleet, quota, deployment.teams, tuning.intakeMs)
     private val orders = Orders(ledger, journal)
@@ -141,7 +144,7 @@
         for (command in batch) if (!stepped) take(command)
         if (!stepped) {
             // What looks at every machine is done now and then; a batch costs what its commands change.
-            if (now.steadyMs - lastWatchMs >= tuning.roundMs) {
+            if (now.steadyMs - lastWatchMs >= tuning.watchMs) {
                 lastWatchMs = now.steadyMs
                 watchMachines()
                 if (leaseHeld()) sendStops()
@@ -754,7 +757,7 @@
     }
 
     private inline fun note(level: NoteLevel, text: () -> String) {
-        effects += Effect.Note(level, text())
+        if (level <= noteLevel) effects += Effect.Note(level, text())
     }
 
     private companion object {
--- a/src/main/kotlin/cleathitch/core/Silence.kt
+++ b/src/main/kotlin/cleathitch/core/Silence.kt
@@ -10,7 +10,9 @@
  */
 class Silence(up: List<Machine>, isQuiet: (Machine) -> Boolean) {
     val quiet = up.filter(isQuiet)
-    private val inZone = up.groupingBy { it.offer.zone }.eachCount()
+
+    /** Mostly nothing is quiet, and then there is nothing to count. */
+    private val inZone = if (quiet.isEmpty()) emptyMap() else up.groupingBy { it.offer.zone }.eachCount()
     private val quietInZone = quiet.groupingBy { it.offer.zone }.eachCount()
     private val excused = quietInZone.keys.filterTo(HashSet()) { mostOf(quietInZone.getValue(it), inZone.getValue(it)) }
     private val all = mostOf(quiet.size, up.size)
--- a/src/main/kotlin/cleathitch/core/Tuning.kt
+++ b/src/main/kotlin/cleathitch/core/Tuning.kt
@@ -12,6 +12,9 @@
     /** For how long a leader's key outlives its last renewal. */
     val leaderLeaseMs: Long,
 
+    /** How often the whole fleet is looked at for machines that fall silent, lose their lease or never come up. */
+    val watchMs: Long,
+
     /** After how long without a report a machine is asked directly, how often, and when it is given up. */
     val probeMs: Long,
     val probeGapMs: Long,
@@ -50,8 +53,10 @@
             val reportMs = deployment.reportS * 1000
             // Cancelled tasks must be gone in time even if an old leader answered until its grace was over.
             val spareMs = (deployment.cancelS - deployment.leaseS) * 1000
+            val roundMs = max(byObjective, byBudget).toLong()
             return Tuning(
-                roundMs = max(byObjective, byBudget).toLong(),
+                roundMs = roundMs,
+                watchMs = max(roundMs, (reportMs / 6).toLong()),
                 trimMs = trimS?.let { (it * 1000).toLong() } ?: TRIM_MS,
                 graceMs = (spareMs * 0.25).toLong().coerceAtLeast(0),
                 leaseMarginMs = (deployment.leaseS * 1000 * DRIFT + reportMs / 4).toLong(),
--- a/src/main/kotlin/cleathitch/core/Users.kt
+++ b/src/main/kotlin/cleathitch/core/Users.kt
@@ -12,9 +12,12 @@
     /** The stops of these attempts go out as soon as the record is committed. */
     fun stopAfter(seq: Seq, attempts: Collection<Attempt>)
     fun emit(effect: Effect)
+    fun notes(level: NoteLevel): Boolean
 }
 
-internal inline fun Leading.note(level: NoteLevel, text: () -> String) = emit(Effect.Note(level, text()))
+internal inline fun Leading.note(level: NoteLevel, text: () -> String) {
+    if (notes(level)) emit(Effect.Note(level, text()))
+}
 
 /** What users ask and are told. Nothing is told before the record behind it is committed. */
 internal class Users(
