--- a/src/test/kotlin/cleathitch/core/MeetingsTest.kt
+++ b/src/test/kotlin/cleathitch/core/MeetingsTest.kt
@@ -348,6 +348,19 @@
         assertEquals(listOf(taskOf(2)), starts(periods(6, others = listOf(other))).map { it.task }.distinct())
     }
 
+    /** The starts are on their way: until the machine shows a version above theirs they may yet begin, and count. */
+    @Test
+    fun `cancelled starts that no report shows count until they are shut out`() {
+        lead()
+        submits(1, tasks = 2)
+        settle(rounds = 2)
+        aborts(1)
+        submits(2)
+        assertEquals(emptyList<AttemptId>(), starts(machine.reports(deaf = true) + settle(rounds = 2)).filter { it.task == taskOf(2) })
+        machine.reports()
+        assertEquals(listOf(taskOf(2)), starts(periods(2)).map { it.task }.distinct())
+    }
+
     /** It shows no version of ours as it hears nothing, but its new session shuts out all that was sent before. */
     @Test
     fun `a cancelled task on a machine that hears nothing counts until its session ends`() {
