--- a/src/main/kotlin/cleathitch/App.kt
+++ b/src/main/kotlin/cleathitch/App.kt
@@ -64,7 +64,7 @@
         val internalRoom = Connections(peerSockets + OTHER_SOCKETS)
         val room = Connections(maxOf(settings.maxSockets / 2, settings.maxSockets - ours - internalRoom.most))
         scope.launch {
-            Front(vertx, scope, PEER_BODY, idleS, internalRoom) { method, path, body -> internal(node, method, path, body) }.listen(settings.internalAddr)
+            Front(vertx, scope, PeerClient.MOST_BODY, idleS, internalRoom) { method, path, body -> internal(node, method, path, body) }.listen(settings.internalAddr)
             node.start()
             Front(vertx, scope, Wire.MAX_BODY, idleS, room, node::front).listen(settings.bind)
             log.info("node {} listens on {} and {}", settings.member, settings.bind, settings.internalAddr)
@@ -97,8 +97,5 @@
 
         /** State service (work, lease and their watches) and cloud hold some 16; twice that is left for them, listeners and metrics. */
         const val OTHER_SOCKETS = 32
-
-        /** A user's or worker's message with what CBOR adds. */
-        const val PEER_BODY = Wire.MAX_BODY + 4096
     }
 }
--- a/src/main/kotlin/cleathitch/LeaderTerm.kt
+++ b/src/main/kotlin/cleathitch/LeaderTerm.kt
@@ -5,6 +5,7 @@
 import cleathitch.core.Deployment
 import cleathitch.core.Effect
 import cleathitch.core.Engine
+import cleathitch.core.ForwardedReport
 import cleathitch.core.HeldImages
 import cleathitch.core.JobId
 import cleathitch.core.JobSpec
@@ -13,6 +14,7 @@
 import cleathitch.core.Moment
 import cleathitch.core.NoteLevel
 import cleathitch.core.Report
+import cleathitch.core.ReportDecision
 import cleathitch.core.RequestId
 import cleathitch.core.Tuning
 import cleathitch.core.UserReply
@@ -67,6 +69,7 @@
     /** Open requests, the oldest first; the tick ends those that are too old, as a timer for each cost a tenth of a report's work. */
     private val users = LinkedHashMap<RequestId, Asked<UserReply>>()
     private val reports = LinkedHashMap<RequestId, Asked<Effect.AnswerReport>>()
+    private val batches = LinkedHashMap<RequestId, Asked<Effect.AnswerForwarded>>()
     private var requests = 0L
 
     val term get() = lease.term
@@ -84,9 +87,15 @@
     }
 
     /** Null if the report must not be answered. */
-    suspend fun report(report: Report, relayed: Boolean): Effect.AnswerReport? {
+    suspend fun report(report: Report): Effect.AnswerReport? {
         if (!ready) return null
-        return ask(reports) { Command.Reported(it, report, relayed) }
+        return ask(reports) { Command.Reported(it, report) }
+    }
+
+    /** Null if nothing can be decided about the [forwarded] reports. */
+    suspend fun forwardedReports(forwarded: List<ForwardedReport>): List<ReportDecision>? {
+        if (!ready) return null
+        return ask(batches) { Command.ReportsForwarded(it, forwarded) }?.decisions
     }
 
     private suspend fun <T> ask(open: LinkedHashMap<RequestId, Asked<T>>, command: (RequestId) -> Command): T? {
@@ -112,6 +121,7 @@
         is Command.Poll -> command.request in users
         is Command.Abort -> command.request in users
         is Command.Reported -> command.request in reports
+        is Command.ReportsForwarded -> command.request in batches
         else -> true
     }
 
@@ -120,6 +130,7 @@
         ready = false
         users.values.toList().forEach { it.answer.complete(UserReply.NotNow("not the leader any more")) }
         reports.values.toList().forEach { it.answer.complete(null) }
+        batches.values.toList().forEach { it.answer.complete(null) }
     }
 
     /** Replays what is recorded, says when that is [replayed], and leads until it is cancelled. */
@@ -174,15 +185,16 @@
             )
             is Effect.AnswerReport -> reports[effect.request]?.answer?.complete(effect)
             is Effect.RefuseReport -> reports[effect.request]?.answer?.complete(null)
+            is Effect.AnswerForwarded -> batches[effect.request]?.answer?.complete(effect)
             is Effect.Write -> launch {
                 val revision = store.commit(effect.commit)
                 if (revision == null) stepDown(Effect.StepDown("a transaction was refused")) else commands.send(Command.Committed(effect.commit.seq, revision))
             }
             is Effect.Push -> launch {
-                services.workers.push(effect)?.let { commands.send(Command.Inspected(it)) }
+                commands.send(directAnswer(effect.machine, services.workers.push(effect)))
             }
             is Effect.Inspect -> launch {
-                services.workers.inspect(effect.machine, effect.addr)?.let { commands.send(Command.Inspected(it)) }
+                commands.send(directAnswer(effect.machine, services.workers.inspect(effect.machine, effect.addr)))
             }
             is Effect.Rent -> launch {
                 val answer = services.cloud.rent(effect.asked)
@@ -201,11 +213,15 @@
         }
     }
 
+    private fun directAnswer(machine: MachineId, report: Report?) =
+        if (report == null) Command.DirectUnanswered(machine) else Command.Inspected(report)
+
     private suspend fun tick() {
         while (true) {
             delay(services.tuning.roundMs)
             endOld(users)
             endOld(reports)
+            endOld(batches)
             commands.send(Command.Tick)
         }
     }
--- a/src/main/kotlin/cleathitch/Node.kt
+++ b/src/main/kotlin/cleathitch/Node.kt
@@ -7,9 +7,13 @@
 import cleathitch.core.Report
 import cleathitch.core.Term
 import cleathitch.core.UserReply
+import cleathitch.peers.BatchResult
+import cleathitch.peers.DecisionMessage
+import cleathitch.peers.KnownLeader
 import cleathitch.peers.PeerClient
 import cleathitch.peers.PeerReply
 import cleathitch.peers.PeerRequest
+import cleathitch.peers.ReportForwarder
 import cleathitch.protocol.HttpReply
 import cleathitch.protocol.Malformed
 import cleathitch.protocol.UserWire
@@ -19,7 +23,9 @@
 import cleathitch.state.LeadershipListener
 import cleathitch.state.StateClient
 import cleathitch.state.Store
-import cleathitch.workers.Redirects
+import cleathitch.workers.ForwardOutcome
+import cleathitch.workers.ReportQueue
+import cleathitch.workers.WorkerDistribution
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -53,17 +59,24 @@
     private var leadingJob: Job? = null
     private var leader: String? = null
     private var leaderTerm = 0L
-    private var leaderSinceMs = 0L
     private var leaderHeardMs: Long? = null
     private val leaderFound = CompletableDeferred<Unit>()
     private var types: List<MachineType> = emptyList()
     private val imagesTold = HashMap<MachineId, HeldImages>()
-    private val redirects = Redirects(reportMs)
+    private val distribution = WorkerDistribution(reportMs)
+    private val forwarder = ReportForwarder(
+        intervalMs = services.tuning.forwardMs,
+        unreachableMs = leaseMs,
+        nowMs = clocks::steadyMs,
+        leader = ::otherLeader,
+        send = ::sendReports,
+    )
 
     /** Takes part in the election, and returns once there is a leader, or there seems to be none soon. */
     suspend fun start() {
         scope.launch { learnTypes() }
         scope.launch { tellPeers() }
+        scope.launch { forwarder.run() }
         leaseScope.launch { leadership.run(this@Node) }
         // Until there is someone to send them to, users and workers only keep us from finding that out.
         withTimeoutOrNull(leaseMs * FIRST_LEASES) { leaderFound.await() }
@@ -115,8 +128,7 @@
             log.info("leader: {}", member ?: "none")
             // A new leader gets the time of its replay to make itself heard.
             if (member != null) {
-                leaderSinceMs = clocks.steadyMs()
-                leaderHeardMs = leaderSinceMs
+                leaderHeardMs = clocks.steadyMs()
             }
         }
         leader = member
@@ -158,7 +170,7 @@
 
     suspend fun front(method: String, path: String, body: ByteArray): HttpReply = when {
         path == "/ready" -> if (method == "GET") HttpReply(if (isReady()) 200 else 503) else HttpReply(405)
-        path == "/agent/beat" -> if (method == "POST") beat(body) else HttpReply(405)
+        path == "/agent/beat" -> if (method == "POST") workerReport(body) else HttpReply(405)
         path == "/submissions" || path.startsWith("/submissions/") -> user(method, path, body, forwarded = false)
         else -> HttpReply(404)
     }
@@ -216,30 +228,28 @@
         }
     }
 
-    private suspend fun beat(body: ByteArray): HttpReply {
+    private suspend fun workerReport(body: ByteArray): HttpReply {
         // Right after an election the whole fleet comes at once; what needs no look at the report gets none.
         if (leading?.ready == false || leading == null && leader == null) return HttpReply(503)
-        if (leading == null && clocks.steadyMs() - leaderSinceMs < reportMs / 2) return HttpReply(421, WorkerWire.elsewhere(leader))
+        if (leading == null && forwarder.leaderUnreachable) return HttpReply(421, WorkerWire.elsewhere(leader))
         val report = try {
             WorkerWire.report(body)
         } catch (e: Malformed) {
             log.error("a garbled report: {}", e.message)
             return HttpReply(400, UserWire.error(e.message.orEmpty()))
         }
-        leading?.let { return beatHere(it, report, relayed = false) }
-        val name = leader ?: return HttpReply(503)
-        val way = redirects.wayOf(report, name, leaderTerm, clocks.steadyMs())
-        if (way == Redirects.Way.TO_LEADER) return HttpReply(421, WorkerWire.elsewhere(name))
-        val reply = peerAddresses[name]?.let { peers.ask(it, PeerRequest.WorkerReport(body), FORWARD_MS) }
-        return when {
-            reply == null || reply.status != 200 -> HttpReply(503)
-            way == Redirects.Way.RELAY_THEN_TO_LEADER -> HttpReply(421, WorkerWire.elsewhere(name))
-            else -> HttpReply(200, reply.body)
+        leading?.let { return reportToUs(it, report) }
+        return when (val outcome = forwarder.forward(report)) {
+            is ForwardOutcome.Answered -> HttpReply(200, WorkerWire.answer(outcome.version, outcome.orders))
+            ForwardOutcome.Unanswered -> HttpReply(503)
         }
     }
 
-    private suspend fun beatHere(mine: LeaderTerm, report: Report, relayed: Boolean): HttpReply {
-        val answer = mine.report(report, relayed)
+    private suspend fun reportToUs(mine: LeaderTerm, report: Report): HttpReply {
+        val now = clocks.steadyMs()
+        val followers = peerHeardMs.filterValues { now - it < leaseMs }.keys.toList()
+        distribution.followerFor(report.machine, followers, now)?.let { return HttpReply(421, WorkerWire.elsewhere(it)) }
+        val answer = mine.report(report)
         return when {
             answer != null -> HttpReply(200, WorkerWire.answer(answer.version, answer.orders))
             leading === mine -> HttpReply(503)
@@ -247,6 +257,34 @@
         }
     }
 
+    /** The leader to whom a follower hands what it can't decide; null while there is none, or it is this node. */
+    private fun otherLeader(): KnownLeader? =
+        leader?.takeIf { leading == null && it != settings.member }?.let { KnownLeader(it, leaderTerm) }
+
+    private suspend fun sendReports(to: KnownLeader, batch: ReportQueue.Batch, timeoutMs: Long): BatchResult {
+        val address = peerAddresses[to.member] ?: return BatchResult.NotLeading
+        val sentMs = clocks.steadyMs()
+        val reply = peers.ask(address, PeerRequest.Reports.of(batch.term, batch.reports), timeoutMs)
+        val decisions = reply?.decisions
+        return when {
+            decisions != null -> BatchResult.Decided(decisions.map { it.toDecision() })
+            reply != null -> BatchResult.NotLeading
+            clocks.steadyMs() - sentMs < timeoutMs -> BatchResult.Unreachable
+            else -> BatchResult.TimedOut
+        }
+    }
+
+    private suspend fun forwardedReports(request: PeerRequest.Reports): PeerReply {
+        val mine = leading?.takeIf { it.term.revision == request.term }
+        val decisions = mine?.forwardedReports(request.toReports())
+        return PeerReply(
+            status = if (decisions == null) 503 else 200,
+            leader = leader,
+            term = leaderTerm,
+            decisions = decisions?.map(DecisionMessage::of),
+        )
+    }
+
     suspend fun peer(request: PeerRequest): PeerReply = when (request) {
         is PeerRequest.Leads -> {
             heard(request.from, request.term)
@@ -259,14 +297,7 @@
         }
         is PeerRequest.User -> user(request.method, request.path, request.body, forwarded = true)
             .let { PeerReply(it.status, it.body, it.retryAfterS, leader, leaderTerm) }
-        is PeerRequest.WorkerReport -> {
-            val mine = leading
-            if (mine == null) {
-                PeerReply(503, leader = leader, term = leaderTerm)
-            } else {
-                beatHere(mine, WorkerWire.report(request.body), relayed = true).let { PeerReply(it.status, it.body, null, leader, leaderTerm) }
-            }
-        }
+        is PeerRequest.Reports -> forwardedReports(request)
     }
 
     companion object {
--- a/src/main/kotlin/cleathitch/core/Commands.kt
+++ b/src/main/kotlin/cleathitch/core/Commands.kt
@@ -6,12 +6,18 @@
     data class Poll(val request: RequestId, val job: JobId) : Command
     data class Abort(val request: RequestId, val job: JobId) : Command
 
-    /** A machine's report that waits for an answer; [relayed] by another node, to which the machine came instead. */
-    data class Reported(val request: RequestId, val report: Report, val relayed: Boolean = false) : Command
+    /** A report of a machine that came to this node itself and waits for an answer. */
+    data class Reported(val request: RequestId, val report: Report) : Command
+
+    /** Reports of machines that came to a follower, each of which waits for a decision. */
+    data class ReportsForwarded(val request: RequestId, val reports: List<ForwardedReport>) : Command
 
     /** A report that came as the answer to orders sent directly. */
     data class Inspected(val report: Report) : Command
 
+    /** Orders or a question sent directly to a machine got no answer. */
+    data class DirectUnanswered(val machine: MachineId) : Command
+
     data class LeaseHeld(val untilMs: Long) : Command
     data class Committed(val seq: Seq, val revision: Long) : Command
     data class TypesListed(val types: List<MachineType>) : Command
@@ -40,6 +46,9 @@
     data class Answer(val request: RequestId, val reply: UserReply) : Effect
     data class AnswerReport(val request: RequestId, val version: OrderVersion, val orders: List<Order>) : Effect
     data class RefuseReport(val request: RequestId) : Effect
+
+    /** The decisions about forwarded reports, in the order of the reports. */
+    data class AnswerForwarded(val request: RequestId, val decisions: List<ReportDecision>) : Effect
     data class Write(val commit: Commit) : Effect
     data class Push(
         val machine: MachineId,
--- a/src/main/kotlin/cleathitch/core/Engine.kt
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -90,9 +90,7 @@
     private var lastFleetMs = 0L
     private var lastTrimMs = start.steadyMs
 
-    /** When a machine last reported to us itself, and how many reports others have handed on since then. */
-    private var lastDirectMs: Long? = null
-    private var relayed = 0
+    private val directReachability = DirectReachability(tuning.probeMs)
     private var rentCount = 0L
     private var fleetListed = false
 
@@ -175,7 +173,9 @@
             is Command.Poll -> users.poll(command)
             is Command.Abort -> users.abort(command)
             is Command.Reported -> reported(command)
+            is Command.ReportsForwarded -> reportsForwarded(command)
             is Command.Inspected -> inspected(command.report)
+            is Command.DirectUnanswered -> fleet.machines[command.machine]?.let { directReachability.unanswered(it, now.steadyMs) }
             is Command.LeaseHeld -> heldUntilMs = maxOf(heldUntilMs, command.untilMs)
             is Command.Committed -> committed(command)
             is Command.TypesListed -> typesListed(command.types)
@@ -257,17 +257,39 @@
     // ---- machines
 
     private fun reported(command: Command.Reported) {
-        val (request, report) = command
-        if (command.relayed) {
-            relayed++
-        } else {
-            lastDirectMs = now.steadyMs
-            relayed = 0
-        }
-        if (!mayAnswerMachines() || !observe(report)) {
-            effects += Effect.RefuseReport(request)
-            return
+        when (val decision = decide(command.report)) {
+            is ReportDecision.Answer -> effects += Effect.AnswerReport(command.request, decision.version, decision.orders)
+            ReportDecision.Refuse, ReportDecision.SendWhole -> effects += Effect.RefuseReport(command.request)
+        }
+        // What comes from a machine to this node itself shows that the path between them is whole.
+        directReachability.answered()
+    }
+
+    private fun reportsForwarded(command: Command.ReportsForwarded) {
+        effects += Effect.AnswerForwarded(command.request, command.reports.map(::decideForwarded))
+    }
+
+    private fun decideForwarded(forwarded: ForwardedReport): ReportDecision {
+        if (stepped || !mayAnswerMachines()) return ReportDecision.Refuse
+        val decision = when (forwarded) {
+            is ForwardedReport.Whole -> decide(forwarded.report)
+            is ForwardedReport.Heartbeat -> decideHeartbeat(forwarded)
         }
+        if (decision is ReportDecision.Answer) directReachability.reported(fleet.machines.getValue(forwarded.machine))
+        return decision
+    }
+
+    /** A heartbeat stands for its base with a newer sequence number, and is decided like that report. */
+    private fun decideHeartbeat(heartbeat: ForwardedReport.Heartbeat): ReportDecision {
+        if (heartbeat.machine in gone) return ReportDecision.Refuse
+        val machine = fleet.machines[heartbeat.machine] ?: return ReportDecision.SendWhole
+        val report = machine.repeatedBy(heartbeat) ?: return ReportDecision.SendWhole
+        return decide(report)
+    }
+
+    /** Takes a report in and decides about its answer. */
+    private fun decide(report: Report): ReportDecision {
+        if (!mayAnswerMachines() || !observe(report)) return ReportDecision.Refuse
         val machine = fleet.machines.getValue(report.machine)
         machine.lastReportMs = now.steadyMs
         // Its next report shows the version of our last answer, unless that didn't reach it.
@@ -277,7 +299,7 @@
         noteSent(machine, orders)
         stopsDue -= machine.id
         machine.answered = version
-        effects += Effect.AnswerReport(request, version, orders)
+        return ReportDecision.Answer(version, orders)
     }
 
     /**
@@ -328,6 +350,7 @@
         if (!observe(report)) return
         val machine = fleet.machines.getValue(report.machine)
         machine.confirmed = true
+        directReachability.answered()
         if (first) push(machine)
     }
 
@@ -482,14 +505,11 @@
     }
 
     /**
-     * Machines reach the other nodes and not us: one of those had better lead. A leader that kept the state
-     * service and lost only its machines once took all of them for silent, and returned them.
+     * Machines that report through followers don't get direct commands: a node with a whole path to them serves better.
+     * A leader that kept the state service and lost only its machines once took all of them for silent, and returned them.
      */
     private fun handOverIfCutOff() {
-        val direct = lastDirectMs ?: return // whoever never heard one in its term has nothing to compare with
-        // By then each machine that can reach us has reported.
-        if (relayed < FEW_RELAYED || now.steadyMs - direct < tuning.probeMs) return
-        stepDown("machines reach others, but not us", handOver = true)
+        if (directReachability.isCut(now.steadyMs)) stepDown("direct commands don't reach machines that report to others", handOver = true)
     }
 
     /**
@@ -780,9 +800,6 @@
         const val PROBES = 2
         const val MOST_PROBES = 50
 
-        /** One report may come by way of another node by accident; so many and none directly are no accident. */
-        const val FEW_RELAYED = 3
-
         /** Up to one machine in so many may be called deaf. */
         const val DEAF_SHARE = 10
         const val FEW_DEAF = 2
--- a/src/main/kotlin/cleathitch/core/Fleet.kt
+++ b/src/main/kotlin/cleathitch/core/Fleet.kt
@@ -65,6 +65,16 @@
 
     fun forgetImages() = images.clear()
     fun heldImages() = HeldImages(session, LinkedHashMap(images))
+    /** The report that a [heartbeat] stands for, or null if the last report heard from the machine isn't its base. */
+    fun repeatedBy(heartbeat: ForwardedReport.Heartbeat): Report? {
+        val address = addr ?: return null
+        if (lastHeardMs == null || session != heartbeat.session || seq != heartbeat.baseSeq) return null
+        return Report(
+            id, address, offer.type, offer.zone, offer.spot,
+            heartbeat.session, heartbeat.seq, heartbeat.version, heartbeat.noticeS, reported,
+        )
+    }
+
     fun newerThan(report: Report) = report.session < session || (report.session == session && report.seq <= seq)
 
     private companion object {
--- a/src/main/kotlin/cleathitch/core/Tuning.kt
+++ b/src/main/kotlin/cleathitch/core/Tuning.kt
@@ -27,6 +27,9 @@
     /** How often the followers hear which machine holds which images. */
     val tellImagesMs: Long,
     val takeOverMs: Long,
+
+    /** For how long a follower gathers reports before it hands them to the leader. */
+    val forwardMs: Long,
     val stallMs: Long,
     val intakeMs: Long,
 ) {
@@ -68,6 +71,7 @@
                 returnGapMs = (2000 / deployment.cloudRps).toLong(),
                 tellImagesMs = (reportMs * 1.5).toLong(),
                 takeOverMs = (reportMs * 1.25).toLong(),
+                forwardMs = (reportMs / 80).toLong(),
                 stallMs = (reportMs / 4).toLong(),
                 intakeMs = (reportMs / 2).toLong(),
             )
--- a/src/main/kotlin/cleathitch/peers/Messages.kt
+++ b/src/main/kotlin/cleathitch/peers/Messages.kt
@@ -1,5 +1,6 @@
 package cleathitch.peers
 
+import cleathitch.core.ForwardedReport
 import cleathitch.core.HeldImages
 import cleathitch.core.MachineId
 import kotlinx.serialization.ExperimentalSerializationApi
@@ -49,10 +50,22 @@
         }
     }
 
-    /** A worker's report that can't reach the leader by itself. */
+    /** Reports of workers that came to a follower, for the leader of [term]. */
     @Serializable
-    @SerialName("report")
-    data class WorkerReport(val body: ByteArray) : PeerRequest
+    @SerialName("reports")
+    data class Reports(val term: Long, val whole: List<ReportMessage>, val heartbeats: List<HeartbeatMessage>) : PeerRequest {
+        fun toReports(): List<ForwardedReport> =
+            whole.map { ForwardedReport.Whole(it.toReport()) } + heartbeats.map { it.toHeartbeat() }
+
+        companion object {
+            /** [reports] must hold the whole reports first, since that is the order of the decisions. */
+            fun of(term: Long, reports: List<ForwardedReport>) = Reports(
+                term,
+                reports.filterIsInstance<ForwardedReport.Whole>().map { ReportMessage.of(it.report) },
+                reports.filterIsInstance<ForwardedReport.Heartbeat>().map(HeartbeatMessage::of),
+            )
+        }
+    }
 }
 
 @Serializable
@@ -63,6 +76,9 @@
     val retryAfterS: Int? = null,
     val leader: String? = null,
     val term: Long = 0,
+
+    /** Decisions about reports, in the order of [PeerRequest.Reports.toReports]. */
+    val decisions: List<DecisionMessage>? = null,
 )
 
 @OptIn(ExperimentalSerializationApi::class)
--- a/src/main/kotlin/cleathitch/peers/PeerClient.kt
+++ b/src/main/kotlin/cleathitch/peers/PeerClient.kt
@@ -2,6 +2,7 @@
 
 import cleathitch.http.Address
 import cleathitch.http.Caller
+import cleathitch.protocol.Wire
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpMethod
 import kotlinx.serialization.SerializationException
@@ -25,6 +26,9 @@
     companion object {
         const val PATH = "/peer"
 
+        /** The largest request: a user's message with what CBOR adds. Batches of reports are cut to fit. */
+        const val MOST_BODY = Wire.MAX_BODY + 4096
+
         /** To each peer: one request in flight on each, and an answer takes a few milliseconds. */
         const val CONNECTIONS = 16
         private val log = LoggerFactory.getLogger("cleathitch.peers")
--- /dev/null
+++ b/src/main/kotlin/cleathitch/workers/ReportQueue.kt
@@ -0,0 +1,153 @@
+package cleathitch.workers
+
+import cleathitch.core.ForwardedReport
+import cleathitch.core.MachineId
+import cleathitch.core.OrderVersion
+import cleathitch.core.Order
+import cleathitch.core.Report
+import cleathitch.core.ReportDecision
+
+/** What a follower may tell a worker whose report it took in. */
+sealed interface ForwardOutcome {
+    /** The leader's own answer, the only one that renews the worker's lease. */
+    data class Answered(val version: OrderVersion, val orders: List<Order>) : ForwardOutcome
+
+    /** The leader refused the report, or gave no answer in time. */
+    data object Unanswered : ForwardOutcome
+}
+
+/**
+ * The reports that a follower has taken in and that wait for the leader's decision.
+ *
+ * At most one report of each machine waits: a worker has one in flight, so an older one has lost its sender. A report
+ * that repeats what the leader acknowledged in its present term goes as a heartbeat. The queue has no clock and does
+ * no I/O, and it decides nothing about a worker's lease.
+ */
+class ReportQueue(private val answerWithinMs: Long) {
+    internal class Waiting(val report: Report, val arrivedMs: Long, val reply: (ForwardOutcome) -> Unit)
+
+    /** Reports on their way to the leader of [term], the whole ones before the heartbeats. */
+    class Batch internal constructor(val term: Long, val reports: List<ForwardedReport>, internal val entries: List<Waiting>) {
+        internal val oldestMs get() = entries.minOf { it.arrivedMs }
+    }
+
+    private val waiting = LinkedHashMap<MachineId, Waiting>()
+    private var term = 0L
+
+    /** The last report of each machine that the leader of [term] answered through this node. */
+    private val acknowledged = HashMap<MachineId, Report>()
+
+    val isEmpty get() = waiting.isEmpty()
+    val isFull get() = waiting.size >= MOST_REPORTS
+
+    /** Takes a report in; [reply] is called once, with the outcome. */
+    fun add(report: Report, nowMs: Long, reply: (ForwardOutcome) -> Unit) {
+        waiting.put(report.machine, Waiting(report, nowMs, reply))?.reply?.invoke(ForwardOutcome.Unanswered)
+    }
+
+    /** The next batch for the leader of [leaderTerm], or null if nothing waits. */
+    fun nextBatch(leaderTerm: Long, nowMs: Long): Batch? {
+        dropExpired(nowMs)
+        if (leaderTerm != term) {
+            // Another leader holds no report of these machines from us, and may hold none at all.
+            acknowledged.clear()
+            term = leaderTerm
+        }
+        if (acknowledged.size > MOST_ACKNOWLEDGED) acknowledged.clear()
+        val chosen = ArrayList<Pair<ForwardedReport, Waiting>>()
+        var bytes = 0
+        for (entry in waiting.values) {
+            val forwarded = forwarded(entry.report)
+            bytes += estimatedBytes(forwarded)
+            val full = chosen.size == MOST_REPORTS || bytes > MOST_BYTES
+            if (full && chosen.isNotEmpty()) break
+            chosen += forwarded to entry
+        }
+        if (chosen.isEmpty()) return null
+        chosen.forEach { (_, entry) -> waiting.remove(entry.report.machine) }
+        val wholeFirst = chosen.sortedBy { (forwarded, _) -> forwarded is ForwardedReport.Heartbeat }
+        return Batch(leaderTerm, wholeFirst.map { it.first }, wholeFirst.map { it.second })
+    }
+
+    /** For how long the leader's decisions about [batch] are of use. */
+    fun timeLeftMs(batch: Batch, nowMs: Long) = batch.oldestMs + answerWithinMs - nowMs
+
+    /** The leader of [batch]'s term decided; [currentTerm] is that of the leader known by now. */
+    fun decided(batch: Batch, decisions: List<ReportDecision>, currentTerm: Long, nowMs: Long) {
+        if (currentTerm != batch.term || decisions.size != batch.entries.size) return unanswered(batch)
+        for ((entry, decision) in batch.entries.zip(decisions)) {
+            when (decision) {
+                is ReportDecision.Answer -> answered(entry, decision, nowMs)
+                ReportDecision.Refuse -> entry.reply(ForwardOutcome.Unanswered)
+                ReportDecision.SendWhole -> sendAgain(entry)
+            }
+        }
+    }
+
+    private fun answered(entry: Waiting, answer: ReportDecision.Answer, nowMs: Long) {
+        acknowledged[entry.report.machine] = entry.report
+        val inTime = nowMs - entry.arrivedMs < answerWithinMs
+        entry.reply(if (inTime) ForwardOutcome.Answered(answer.version, answer.orders) else ForwardOutcome.Unanswered)
+    }
+
+    private fun sendAgain(entry: Waiting) {
+        acknowledged.remove(entry.report.machine)
+        // A newer report of the machine may have come meanwhile; then this one has lost its sender.
+        val newer = waiting.putIfAbsent(entry.report.machine, entry)
+        if (newer != null) entry.reply(ForwardOutcome.Unanswered)
+    }
+
+    /** No decisions about [batch] came, or none that may be used. */
+    fun unanswered(batch: Batch) {
+        batch.entries.forEach { it.reply(ForwardOutcome.Unanswered) }
+    }
+
+    /** Nobody leads whom the waiting reports could go to. */
+    fun refuseAll() {
+        val refused = waiting.values.toList()
+        waiting.clear()
+        refused.forEach { it.reply(ForwardOutcome.Unanswered) }
+    }
+
+    private fun dropExpired(nowMs: Long) {
+        val expired = waiting.values.filter { nowMs - it.arrivedMs >= answerWithinMs }
+        expired.forEach { waiting.remove(it.report.machine) }
+        expired.forEach { it.reply(ForwardOutcome.Unanswered) }
+    }
+
+    private fun forwarded(report: Report): ForwardedReport {
+        val base = acknowledged[report.machine]
+        if (base == null || !repeats(report, base)) return ForwardedReport.Whole(report)
+        return ForwardedReport.Heartbeat(
+            report.machine, report.session, report.seq, report.version, report.noticeS, baseSeq = base.seq,
+        )
+    }
+
+    private fun repeats(report: Report, base: Report) =
+        report.copy(seq = base.seq, version = base.version, noticeS = base.noticeS) == base
+
+    private fun estimatedBytes(forwarded: ForwardedReport): Int = when (forwarded) {
+        is ForwardedReport.Heartbeat -> HEARTBEAT_BYTES + forwarded.machine.text.length
+        is ForwardedReport.Whole -> forwarded.report.run {
+            val texts = machine.text.length + addr.length + type.length + zone.length
+            val tasksBytes = tasks.sumOf { TASK_BYTES + it.attempt.task.job.text.length }
+            REPORT_BYTES + BYTES_PER_CHAR * texts + tasksBytes
+        }
+    }
+
+    companion object {
+        /** So many reports are handed on at once; the estimated bytes bound batches of large reports. */
+        const val MOST_REPORTS = 400
+
+        /** Half of what a body may hold, since sizes are estimates. A single report always fits by far. */
+        private const val MOST_BYTES = 32 * 1024
+
+        /** Machines come and go; forgetting the gone ones all at once costs the present ones one whole report each. */
+        private const val MOST_ACKNOWLEDGED = 10_000
+
+        private const val HEARTBEAT_BYTES = 48
+        private const val REPORT_BYTES = 64
+        private const val TASK_BYTES = 48
+        private const val BYTES_PER_CHAR = 4
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/cleathitch/core/ForwardedReportsTest.kt
@@ -0,0 +1,127 @@
+package cleathitch.core
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** The leader decides about a report that a follower hands on exactly as about one that comes to it directly. */
+class ForwardedReportsTest : EngineTrace() {
+    private fun forward(vararg reports: ForwardedReport): List<ReportDecision> =
+        step(Command.ReportsForwarded(request(), reports.toList())).filterIsInstance<Effect.AnswerForwarded>().single().decisions
+
+    private fun whole(report: Report) = ForwardedReport.Whole(report)
+
+    private fun heartbeat(machine: Int, seq: Long, baseSeq: Long, session: Long = 1) =
+        ForwardedReport.Heartbeat(report(machine).machine, session, seq, OrderVersion.first(revision), noticeS = null, baseSeq)
+
+    /** The machines on which tasks start by orders sent directly. */
+    private fun started(effects: List<Effect>) = effects.filterIsInstance<Effect.Push>()
+        .filter { push -> push.orders.any { it is Order.Start } }.map { it.machine }
+
+    private fun reportsTask(machine: Int, seq: Long, attempt: AttemptId) =
+        report(machine, seq).copy(tasks = listOf(ReportedTask(attempt, TaskState.RUNNING)))
+
+    /** One machine with the only task there is, which a follower has reported as running. */
+    private fun oneRunningTask(): AttemptId {
+        machines(1)
+        submit(jobs = 1, tasks = 1)
+        val push = settle(rounds = 3).filterIsInstance<Effect.Push>().first { push -> push.orders.any { it is Order.Start } }
+        val attempt = push.orders.single().attempt
+        forward(whole(reportsTask(0, seq = 2, attempt)))
+        return attempt
+    }
+
+    @Test
+    fun `a heartbeat renews what its base said`() {
+        oneRunningTask()
+        val leaseMs = (deployment.leaseS * 1000).toLong()
+        val effects = (1L..20).flatMap { period ->
+            at(nowMs + (deployment.reportS * 1000).toLong())
+            assertTrue(forward(heartbeat(0, seq = 2 + period, baseSeq = 1 + period)).single() is ReportDecision.Answer)
+            settle(rounds = 1)
+        }
+        assertTrue(nowMs > leaseMs)
+        assertEquals(emptyList<Effect>(), effects.filterIsInstance<Effect.Return>())
+        assertEquals(emptyList<MachineId>(), started(effects))
+    }
+
+    /** A report that reached the leader by another way changed what the heartbeat's sender takes for known. */
+    @Test
+    fun `a heartbeat whose base isn't the last report heard is answered by a call for the whole`() {
+        machines(1)
+        forward(whole(report(0, seq = 2)))
+        step(Command.Reported(request(), report(0, seq = 3)))
+        assertEquals(ReportDecision.SendWhole, forward(heartbeat(0, seq = 4, baseSeq = 2)).single())
+    }
+
+    @Test
+    fun `a heartbeat of another session, of an unknown machine or before a take-over is answered by a call for the whole`() {
+        machines(1)
+        forward(whole(report(0, seq = 2)))
+        assertEquals(ReportDecision.SendWhole, forward(heartbeat(0, seq = 3, baseSeq = 2, session = 2)).single())
+        assertEquals(ReportDecision.SendWhole, forward(heartbeat(5, seq = 3, baseSeq = 2)).single())
+        takeOver()
+        assertEquals(ReportDecision.SendWhole, forward(heartbeat(0, seq = 3, baseSeq = 2)).single())
+    }
+
+    /** As when a batch is delivered twice, or a report's copy reaches a second node. */
+    @Test
+    fun `the same report isn't answered a second time, and doesn't spoil the rest of its batch`() {
+        machines(2)
+        val first = forward(whole(report(0, seq = 2)), whole(report(1, seq = 2)))
+        assertTrue(first.all { it is ReportDecision.Answer })
+        val second = forward(whole(report(0, seq = 2)), whole(report(1, seq = 3)))
+        assertEquals(ReportDecision.Refuse, second[0])
+        assertTrue(second[1] is ReportDecision.Answer)
+    }
+
+    /** The worker's lease runs from when it sent the report, which is earlier; the leader's bound must not be. */
+    @Test
+    fun `a report held up on its way keeps its machine's tasks for a lease from its arrival`() {
+        oneRunningTask()
+        at(nowMs + (deployment.leaseS * 1000).toLong() / 2)
+        forward(heartbeat(0, seq = 3, baseSeq = 2))
+        val arrivedMs = nowMs
+        machine1Arrives()
+        while (nowMs < arrivedMs + deployment.leaseS * 1000) {
+            val effects = settle(rounds = 1)
+            step(Command.Reported(request(), report(1, seq = nowMs)))
+            if (nowMs < arrivedMs + deployment.leaseS * 1000) assertEquals(emptyList<MachineId>(), started(effects))
+        }
+    }
+
+    private fun machine1Arrives() {
+        step(Command.Reported(request(), report(1)))
+    }
+
+    /** Without a lease of its own a leader answers for a bounded time, through followers too. */
+    @Test
+    fun `nothing is answered through followers once the grace is over`() {
+        machines(1, heldUntilMs = 1000)
+        at(1000 + tuning.graceMs - 1)
+        assertTrue(forward(whole(report(0, seq = 2))).single() is ReportDecision.Answer)
+        at(1000 + tuning.graceMs)
+        assertEquals(ReportDecision.Refuse, forward(whole(report(0, seq = 3))).single())
+        assertEquals(ReportDecision.Refuse, forward(heartbeat(0, seq = 4, baseSeq = 3)).single())
+    }
+
+    /** Whoever has seen a higher version has met a newer leader; what comes after it in the batch gets nothing either. */
+    @Test
+    fun `a higher version in a batch ends the term and the answers`() {
+        machines(2)
+        val newer = report(0, seq = 2, version = OrderVersion.first(revision + 1000))
+        val effects = step(Command.ReportsForwarded(request(), listOf(whole(newer), whole(report(1, seq = 2)))))
+        assertEquals(1, effects.filterIsInstance<Effect.StepDown>().size)
+        assertEquals(List(2) { ReportDecision.Refuse }, effects.filterIsInstance<Effect.AnswerForwarded>().single().decisions)
+    }
+
+    @Test
+    fun `a machine that was returned gets no answer through a follower`() {
+        machines(1)
+        step(Command.MachinesListed(listOf(listed(0, ListedState.FAILED))))
+        settle(rounds = 40)
+        step(Command.Returned(listOf(report(0).machine)))
+        assertEquals(ReportDecision.Refuse, forward(whole(report(0, seq = 2))).single())
+        assertEquals(ReportDecision.Refuse, forward(heartbeat(0, seq = 3, baseSeq = 1)).single())
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/cleathitch/workers/ReportQueueTest.kt
@@ -0,0 +1,164 @@
+package cleathitch.workers
+
+import cleathitch.core.AttemptId
+import cleathitch.core.ForwardedReport
+import cleathitch.core.JobId
+import cleathitch.core.MachineId
+import cleathitch.core.OrderVersion
+import cleathitch.core.Report
+import cleathitch.core.ReportDecision
+import cleathitch.core.ReportedTask
+import cleathitch.core.TaskId
+import cleathitch.core.TaskState
+import cleathitch.peers.PeerClient
+import cleathitch.peers.PeerCodec
+import cleathitch.peers.PeerRequest
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** What a follower tells workers, and when: nothing but what the present leader has just decided. */
+class ReportQueueTest {
+    private val queue = ReportQueue(answerWithinMs = 3000)
+    private val answer = ReportDecision.Answer(OrderVersion.first(9).next(), emptyList())
+    private val outcomes = ArrayList<ForwardOutcome>()
+
+    private fun report(machine: Int = 1, seq: Long = 1, session: Long = 1, tasks: Int = 1) = Report(
+        MachineId("vm-%06d".format(machine)), "10.1.0.7:9000", "m4", "zone-a", false, session, seq, OrderVersion.first(9), null,
+        List(tasks) { ReportedTask(AttemptId(TaskId(JobId("j-000412"), it), 1), TaskState.RUNNING) },
+    )
+
+    private fun add(report: Report, atMs: Long = 0) = queue.add(report, atMs) { outcomes += it }
+    private fun batch(atMs: Long = 0, term: Long = 9) = queue.nextBatch(term, atMs)!!
+
+    /** The leader of term 9 has acknowledged this report. */
+    private fun acknowledged(report: Report) {
+        add(report)
+        queue.decided(batch(), listOf(answer), currentTerm = 9, nowMs = 0)
+        outcomes.clear()
+    }
+
+    @Test
+    fun `a worker gets the leader's answer`() {
+        add(report())
+        queue.decided(batch(), listOf(answer), currentTerm = 9, nowMs = 10)
+        assertEquals(listOf<ForwardOutcome>(ForwardOutcome.Answered(answer.version, emptyList())), outcomes)
+    }
+
+    @Test
+    fun `a report that repeats an acknowledged one goes as a heartbeat`() {
+        acknowledged(report(seq = 1))
+        add(report(seq = 2))
+        val heartbeat = batch().reports.single() as ForwardedReport.Heartbeat
+        assertEquals(2, heartbeat.seq)
+        assertEquals(1, heartbeat.baseSeq)
+    }
+
+    @Test
+    fun `other tasks, another session and another leader need the whole report`() {
+        acknowledged(report(seq = 1))
+        add(report(seq = 2, tasks = 2))
+        assertTrue(batch().reports.single() is ForwardedReport.Whole)
+        add(report(seq = 1, session = 2))
+        assertTrue(batch().reports.single() is ForwardedReport.Whole)
+        add(report(seq = 2))
+        assertTrue(batch(term = 10).reports.single() is ForwardedReport.Whole)
+    }
+
+    @Test
+    fun `what was refused or not decided is no base`() {
+        add(report(seq = 1))
+        queue.decided(batch(), listOf(ReportDecision.Refuse), currentTerm = 9, nowMs = 0)
+        add(report(seq = 2))
+        val undecided = batch()
+        assertTrue(undecided.reports.single() is ForwardedReport.Whole)
+        queue.unanswered(undecided)
+        add(report(seq = 3))
+        assertTrue(batch().reports.single() is ForwardedReport.Whole)
+        assertEquals(List(2) { ForwardOutcome.Unanswered }, outcomes)
+    }
+
+    @Test
+    fun `a report goes again, whole, when the leader lacks its base`() {
+        acknowledged(report(seq = 1))
+        add(report(seq = 2))
+        queue.decided(batch(), listOf(ReportDecision.SendWhole), currentTerm = 9, nowMs = 0)
+        val again = batch()
+        assertEquals(ForwardedReport.Whole(report(seq = 2)), again.reports.single())
+        queue.decided(again, listOf(answer), currentTerm = 9, nowMs = 0)
+        assertEquals(1, outcomes.size)
+    }
+
+    /** Between decision and answer another leader may have confirmed what the old one didn't know of. */
+    @Test
+    fun `decisions of a leader that was followed by another are not passed on`() {
+        add(report())
+        queue.decided(batch(), listOf(answer), currentTerm = 10, nowMs = 0)
+        assertEquals(listOf<ForwardOutcome>(ForwardOutcome.Unanswered), outcomes)
+    }
+
+    /** As when the follower stood still between the leader's answer and its own. */
+    @Test
+    fun `decisions that come too late are not passed on`() {
+        add(report(), atMs = 0)
+        queue.decided(batch(), listOf(answer), currentTerm = 9, nowMs = 3000)
+        assertEquals(listOf<ForwardOutcome>(ForwardOutcome.Unanswered), outcomes)
+    }
+
+    @Test
+    fun `reports that waited too long are not sent`() {
+        add(report(machine = 1), atMs = 0)
+        add(report(machine = 2), atMs = 2900)
+        assertEquals(listOf(report(machine = 2).machine), batch(atMs = 3000).reports.map { it.machine })
+        assertEquals(listOf<ForwardOutcome>(ForwardOutcome.Unanswered), outcomes)
+    }
+
+    /** A worker has one report in flight: whoever sent the older one has given it up. */
+    @Test
+    fun `a newer report of the same machine takes the place of the older one`() {
+        add(report(seq = 1))
+        add(report(seq = 2))
+        assertEquals(listOf<ForwardOutcome>(ForwardOutcome.Unanswered), outcomes)
+        assertEquals(ForwardedReport.Whole(report(seq = 2)), batch().reports.single())
+        assertNull(queue.nextBatch(9, 0))
+    }
+
+    @Test
+    fun `an answer with too few decisions is none`() {
+        add(report(machine = 1))
+        add(report(machine = 2))
+        queue.decided(batch(), listOf(answer), currentTerm = 9, nowMs = 0)
+        assertEquals(List(2) { ForwardOutcome.Unanswered }, outcomes)
+    }
+
+    /** Half as many machines again as the largest deployment has, all at once and full of tasks. */
+    @Test
+    fun `batches of a large fleet fit into a body, and every report is in one`() {
+        val machines = 2200
+        repeat(machines) { add(report(machine = it, tasks = 8)) }
+        add(report(machine = machines, tasks = 900))
+        val seen = HashSet<MachineId>()
+        while (true) {
+            val batch = queue.nextBatch(9, 0) ?: break
+            seen += batch.reports.map { it.machine }
+            assertTrue(PeerCodec.encode(PeerRequest.Reports.of(9, batch.reports)).size <= PeerClient.MOST_BODY)
+            queue.decided(batch, batch.reports.map { answer }, currentTerm = 9, nowMs = 0)
+        }
+        assertEquals(machines + 1, seen.size)
+    }
+
+    @Test
+    fun `heartbeats and whole reports of a batch get their own decisions`() {
+        acknowledged(report(machine = 1, seq = 1))
+        val perMachine = HashMap<Int, ForwardOutcome>()
+        queue.add(report(machine = 1, seq = 2), 0) { perMachine[1] = it }
+        queue.add(report(machine = 2, seq = 1), 0) { perMachine[2] = it }
+        val batch = batch()
+        val received = PeerCodec.decodeRequest(PeerCodec.encode(PeerRequest.Reports.of(9, batch.reports))) as PeerRequest.Reports
+        val decisions = received.toReports().map { if (it.machine == report(machine = 1).machine) ReportDecision.Refuse else answer }
+        queue.decided(batch, decisions, currentTerm = 9, nowMs = 0)
+        assertEquals(ForwardOutcome.Unanswered, perMachine[1])
+        assertTrue(perMachine[2] is ForwardOutcome.Answered)
+    }
+}
--- /dev/null
+++ b/src/test/kotlin/cleathitch/workers/WorkerDistributionTest.kt
@@ -0,0 +1,40 @@
+package cleathitch.workers
+
+import cleathitch.core.MachineId
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNotEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Workers that come to the leader; reports come every 6 s. */
+class WorkerDistributionTest {
+    private val distribution = WorkerDistribution(reportMs = 6000)
+    private val followers = listOf("n1", "n2", "n3")
+    private fun machine(number: Int) = MachineId("vm-%06d".format(number))
+
+    @Test
+    fun `workers are spread evenly over the followers`() {
+        val counts = (1..300).map { distribution.followerFor(machine(it), followers, nowMs = 0) }.groupingBy { it }.eachCount()
+        assertEquals(mapOf("n1" to 100, "n2" to 100, "n3" to 100), counts)
+    }
+
+    @Test
+    fun `a worker that comes back is served, and later sent to another follower`() {
+        val first = distribution.followerFor(machine(1), followers, nowMs = 0)
+        assertNull(distribution.followerFor(machine(1), followers, nowMs = 5_000))
+        assertNull(distribution.followerFor(machine(1), followers, nowMs = 29_999))
+        assertNotEquals(first, distribution.followerFor(machine(1), followers, nowMs = 30_000))
+    }
+
+    @Test
+    fun `a leader without followers serves everyone`() {
+        assertNull(distribution.followerFor(machine(1), emptyList(), nowMs = 0))
+    }
+
+    @Test
+    fun `with a single follower the leader keeps a part`() {
+        val kept = (1..300).count { distribution.followerFor(machine(it), listOf("n1"), nowMs = 0) == null }
+        assertTrue(kept in 50..150) { "$kept" }
+    }
+}
