--- a/src/main/kotlin/cleathitch/App.kt
+++ b/src/main/kotlin/cleathitch/App.kt
@@ -44,13 +44,23 @@
         val idleS = ceil(deployment.reportS * IDLE_REPORTS).toInt()
         val tuning = Tuning.of(deployment, operator.trimS)
         val direct = maxOf(1, settings.maxSockets / DIRECT_PART)
+        val workTimes = WorkTimes(meters)
         val services = Services(
             deployment,
             tuning,
             WorkerClient(vertx, timeoutMs = reportMs, probeMs = tuning.probeGapMs, atOnce = direct),
-            CloudClient(vertx, settings.cloud, CallBudget(deployment.cloudRps * (operator.cloudShare ?: CLOUD_SHARE), clocks::steadyMs), timeoutMs = reportMs * 2),
+            CloudClient(
+                vertx,
+                settings.cloud,
+                CallBudget(deployment.cloudRps * (operator.cloudShare ?: CLOUD_SHARE), clocks::steadyMs),
+                timeoutMs = reportMs * 2,
+                workTimes,
+            ),
             clocks,
             meters,
+            workTimes,
+            // Each waiting request holds a connection, here or at a follower.
+            mostRequests = settings.maxSockets,
         )
         val stateMs = tuning.leaderLeaseMs / 3
         val leadership = Leadership(
--- a/src/main/kotlin/cleathitch/LeaderTerm.kt
+++ b/src/main/kotlin/cleathitch/LeaderTerm.kt
@@ -2,6 +2,7 @@
 
 import cleathitch.cloud.CloudClient
 import cleathitch.core.Command
+import cleathitch.core.CommandQueue
 import cleathitch.core.Deployment
 import cleathitch.core.Effect
 import cleathitch.core.Engine
@@ -30,6 +31,7 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.yield
 import org.slf4j.LoggerFactory
 
 /** The clocks of this node. */
@@ -46,6 +48,10 @@
     val cloud: CloudClient,
     val clocks: Clocks,
     val meters: MeterRegistry,
+    val workTimes: WorkTimes,
+
+    /** So many requests may wait for the engine; the rest is refused at once. */
+    val mostRequests: Int,
 )
 
 /**
@@ -61,7 +67,8 @@
     private val tellImages: (Map<MachineId, HeldImages>) -> Unit,
     private val stepDown: (Effect.StepDown) -> Unit,
 ) {
-    private val commands = Channel<Command>(Channel.UNLIMITED)
+    private val queue = CommandQueue(services.mostRequests)
+    private val wakeUp = Channel<Unit>(Channel.CONFLATED)
     private class Asked<T>(val sinceMs: Long) {
         val answer = CompletableDeferred<T?>()
     }
@@ -71,6 +78,7 @@
     private val reports = LinkedHashMap<RequestId, Asked<Effect.AnswerReport>>()
     private val batches = LinkedHashMap<RequestId, Asked<Effect.AnswerForwarded>>()
     private var requests = 0L
+    private var lastBatchMsPerCommand = 0.0
 
     val term get() = lease.term
     val sinceMs = services.clocks.steadyMs()
@@ -83,26 +91,32 @@
 
     private suspend fun askUser(command: (RequestId) -> Command): UserReply {
         if (!ready) return UserReply.NotNow("taking over")
-        return ask(users, command) ?: UserReply.NotNow("not the leader any more")
+        val request = RequestId(++requests)
+        val asked = command(request)
+        return ask(users, request, asked, UserReply.NotNow("too many requests wait", secondsToServeQueue()))
+            ?: UserReply.NotNow("not the leader any more")
     }
 
     /** Null if the report must not be answered. */
     suspend fun report(report: Report): Effect.AnswerReport? {
         if (!ready) return null
-        return ask(reports) { Command.Reported(it, report) }
+        val request = RequestId(++requests)
+        return ask(reports, request, Command.Reported(request, report), refusal = null)
     }
 
     /** Null if nothing can be decided about the [forwarded] reports. */
     suspend fun forwardedReports(forwarded: List<ForwardedReport>): List<ReportDecision>? {
         if (!ready) return null
-        return ask(batches) { Command.ReportsForwarded(it, forwarded) }?.decisions
+        val request = RequestId(++requests)
+        return ask(batches, request, Command.ReportsForwarded(request, forwarded), refusal = null)?.decisions
     }
 
-    private suspend fun <T> ask(open: LinkedHashMap<RequestId, Asked<T>>, command: (RequestId) -> Command): T? {
-        val request = RequestId(++requests)
+    /** The answer to [command], or [refusal] if too much waits already. */
+    private suspend fun <T> ask(open: LinkedHashMap<RequestId, Asked<T>>, request: RequestId, command: Command, refusal: T?): T? {
+        if (!queue.offer(command)) return refusal
         val asked = Asked<T>(services.clocks.steadyMs())
         open[request] = asked
-        commands.trySend(command(request))
+        wakeUp.trySend(Unit)
         return try {
             asked.answer.await()
         } finally {
@@ -110,6 +124,15 @@
         }
     }
 
+    private fun post(command: Command) {
+        queue.offer(command)
+        wakeUp.trySend(Unit)
+    }
+
+    /** At the pace of the last batch; the honest answer to when there will be room again. */
+    private fun secondsToServeQueue(): Int =
+        (queue.requests * lastBatchMsPerCommand / 1000).toInt().coerceIn(1, MOST_RETRY_AFTER_S)
+
     private fun <T> endOld(open: LinkedHashMap<RequestId, Asked<T>>) {
         val oldestMs = services.clocks.steadyMs() - ANSWER_MS
         open.values.takeWhile { it.sinceMs <= oldestMs }.forEach { it.answer.complete(null) }
@@ -145,8 +168,8 @@
                 else -> NoteLevel.ERROR
             },
         )
-        if (knownTypes.isNotEmpty()) commands.trySend(Command.TypesListed(knownTypes))
-        commands.trySend(Command.ImagesTold(imagesTold))
+        if (knownTypes.isNotEmpty()) post(Command.TypesListed(knownTypes))
+        post(Command.ImagesTold(imagesTold))
         ready = true
         replayed()
         log.info(
@@ -156,27 +179,28 @@
         launch { tick() }
         launch { watchTypes() }
         launch { watchMachines() }
-        val batches = services.meters.summary("engine.batch")
-        val time = services.meters.timer("engine.time")
-        val batch = ArrayList<Command>()
+        val batchSizes = services.meters.summary("engine.batch")
         while (true) {
-            batch.clear()
-            val next = commands.receive()
-            lease.worked(services.clocks.steadyMs())
-            batch += Command.LeaseHeld(lease.heldUntilMs)
-            if (isAwaited(next)) batch += next
-            while (true) {
-                val more = commands.tryReceive().getOrNull() ?: break
-                if (isAwaited(more)) batch += more
+            wakeUp.receive()
+            while (!queue.isEmpty) {
+                lease.worked(services.clocks.steadyMs())
+                post(Command.LeaseHeld(lease.heldUntilMs))
+                val batch = queue.nextBatch(::isAwaited)
+                batchSizes.record(batch.size.toDouble())
+                handle(engine, batch).forEach { perform(it) }
+                // Between two batches of a flood everything else on this loop gets its turn.
+                yield()
             }
-            val started = System.nanoTime()
-            val effects = engine.handle(batch, services.clocks.moment())
-            time.record(System.nanoTime() - started, TimeUnit.NANOSECONDS)
-            batches.record(batch.size.toDouble())
-            effects.forEach { perform(it) }
         }
     }
 
+    private fun handle(engine: Engine, batch: List<Command>): List<Effect> {
+        val startNs = System.nanoTime()
+        val effects = services.workTimes.measure(WorkPart.ENGINE) { engine.handle(batch, services.clocks.moment()) }
+        lastBatchMsPerCommand = (System.nanoTime() - startNs) / 1e6 / batch.size
+        return effects
+    }
+
     private fun CoroutineScope.perform(effect: Effect) {
         when (effect) {
             // Decided before a standstill of this process, it must not leave after it: others may lead by now.
@@ -188,20 +212,20 @@
             is Effect.AnswerForwarded -> batches[effect.request]?.answer?.complete(effect)
             is Effect.Write -> launch {
                 val revision = store.commit(effect.commit)
-                if (revision == null) stepDown(Effect.StepDown("a transaction was refused")) else commands.send(Command.Committed(effect.commit.seq, revision))
+                if (revision == null) stepDown(Effect.StepDown("a transaction was refused")) else post(Command.Committed(effect.commit.seq, revision))
             }
             is Effect.Push -> launch {
-                commands.send(directAnswer(effect.machine, services.workers.push(effect)))
+                post(directAnswer(effect.machine, services.workers.push(effect)))
             }
             is Effect.Inspect -> launch {
-                commands.send(directAnswer(effect.machine, services.workers.inspect(effect.machine, effect.addr)))
+                post(directAnswer(effect.machine, services.workers.inspect(effect.machine, effect.addr)))
             }
             is Effect.Rent -> launch {
                 val answer = services.cloud.rent(effect.asked)
-                commands.send(Command.RentalAnswered(effect.asked.request, answer))
+                post(Command.RentalAnswered(effect.asked.request, answer))
             }
             is Effect.Return -> launch {
-                if (services.cloud.giveBack(effect.machines)) commands.send(Command.Returned(effect.machines))
+                if (services.cloud.giveBack(effect.machines)) post(Command.Returned(effect.machines))
             }
             is Effect.TellImages -> tellImages(effect.images)
             is Effect.StepDown -> stepDown(effect)
@@ -222,13 +246,13 @@
             endOld(users)
             endOld(reports)
             endOld(batches)
-            commands.send(Command.Tick)
+            post(Command.Tick)
         }
     }
 
     private suspend fun watchTypes() {
         while (true) {
-            services.cloud.types()?.let { commands.send(Command.TypesListed(it)) }
+            services.cloud.types()?.let { post(Command.TypesListed(it)) }
             delay((services.deployment.leaseS * 1000).toLong())
         }
     }
@@ -236,7 +260,7 @@
     private suspend fun watchMachines() {
         val periodMs = (maxOf(services.deployment.listLagS, services.deployment.reportS) * 1000).toLong()
         while (true) {
-            services.cloud.machines()?.let { commands.send(Command.MachinesListed(it)) }
+            services.cloud.machines()?.let { post(Command.MachinesListed(it)) }
             delay(periodMs)
         }
     }
@@ -244,6 +268,9 @@
     private companion object {
         val log = LoggerFactory.getLogger("cleathitch.leader")
 
+        /** What the page allows a Retry-After to ask for. */
+        const val MOST_RETRY_AFTER_S = 30
+
         /** Longer than the engine takes to give up on a request by itself; only a stopped engine meets it. */
         const val ANSWER_MS = 3000L
     }
--- a/src/main/kotlin/cleathitch/Node.kt
+++ b/src/main/kotlin/cleathitch/Node.kt
@@ -11,6 +11,7 @@
 import cleathitch.peers.DecisionMessage
 import cleathitch.peers.KnownLeader
 import cleathitch.peers.PeerClient
+import cleathitch.peers.PeerCodec
 import cleathitch.peers.PeerReply
 import cleathitch.peers.PeerRequest
 import cleathitch.peers.ReportForwarder
@@ -30,6 +31,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.joinAll
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.slf4j.LoggerFactory
@@ -77,6 +79,7 @@
         scope.launch { learnTypes() }
         scope.launch { tellPeers() }
         scope.launch { forwarder.run() }
+        if (log.isInfoEnabled) scope.launch { logWorkTimes() }
         leaseScope.launch { leadership.run(this@Node) }
         // Until there is someone to send them to, users and workers only keep us from finding that out.
         withTimeoutOrNull(leaseMs * FIRST_LEASES) { leaderFound.await() }
@@ -89,6 +92,14 @@
         }
     }
 
+    private suspend fun logWorkTimes() {
+        while (true) {
+            delay(reportMs * WORK_LOG_REPORTS)
+            val role = if (leading != null) "leader" else "follower"
+            log.info("work as {} in {} ms: {}", role, reportMs * WORK_LOG_REPORTS, services.workTimes.summary())
+        }
+    }
+
     // ---- leadership
 
     // The lease has a loop of its own; what follows from it happens on ours.
@@ -103,7 +114,7 @@
     private fun lead(lease: Lease) {
         val term = lease.term
         log.info("term {}: elected", term.revision)
-        val store = Store(state, PREFIX, LEADER_KEY, term)
+        val store = Store(state, PREFIX, LEADER_KEY, term, services.workTimes)
         val mine = LeaderTerm(lease, services, store, types, HashMap(imagesTold), ::tellImages) { depose(term, it.reason, it.handOver) }
         leading = mine
         leader = settings.member
@@ -136,12 +147,15 @@
         if (member != null) leaderFound.complete(Unit)
     }
 
+    /** A follower whose batch of reports was answered a moment ago has heard from its leader by that. */
+    private fun needsWord(peer: String) = clocks.steadyMs() - (peerHeardMs[peer] ?: Long.MIN_VALUE / 2) >= leaseMs / 6
+
     /** The leader tells its peers every third of a lease, so that they know it even without the state service. */
     private suspend fun tellPeers() {
         while (true) {
             val mine = leading
             if (mine != null && mine.ready) {
-                for (peer in settings.peers) scope.launch {
+                for (peer in settings.peers.filter { needsWord(it.member) }) scope.launch {
                     val reply = peers.ask(peer.addr, PeerRequest.Leads(settings.member, settings.member, mine.term.revision), leaseMs / 3)
                         ?: return@launch
                     peerHeardMs[peer.member] = clocks.steadyMs()
@@ -152,8 +166,14 @@
         }
     }
 
+    /** Part by part, so that other work gets its turn between them. */
     private fun tellImages(images: Map<MachineId, HeldImages>) {
-        for (part in PeerRequest.Images.of(images)) for (peer in settings.peers) scope.launch { peers.ask(peer.addr, part, reportMs / 3) }
+        scope.launch {
+            for (part in PeerRequest.Images.of(images)) {
+                val encoded = services.workTimes.measure(WorkPart.IMAGES_ENCODING) { PeerCodec.encode(part) }
+                settings.peers.map { peer -> launch { peers.ask(peer.addr, encoded, reportMs / 3) } }.joinAll()
+            }
+        }
     }
 
     private fun heard(from: String, term: Long) {
@@ -233,7 +253,7 @@
         if (leading?.ready == false || leading == null && leader == null) return HttpReply(503)
         if (leading == null && forwarder.leaderUnreachable) return HttpReply(421, WorkerWire.elsewhere(leader))
         val report = try {
-            WorkerWire.report(body)
+            services.workTimes.measure(WorkPart.REPORT_DECODING) { WorkerWire.report(body) }
         } catch (e: Malformed) {
             log.error("a garbled report: {}", e.message)
             return HttpReply(400, UserWire.error(e.message.orEmpty()))
@@ -264,8 +284,12 @@
     private suspend fun sendReports(to: KnownLeader, batch: ReportQueue.Batch, timeoutMs: Long): BatchResult {
         val address = peerAddresses[to.member] ?: return BatchResult.NotLeading
         val sentMs = clocks.steadyMs()
-        val reply = peers.ask(address, PeerRequest.Reports.of(batch.term, batch.reports), timeoutMs)
+        val encoded = services.workTimes.measure(WorkPart.BATCH_ENCODING) {
+            PeerCodec.encode(PeerRequest.Reports.of(settings.member, batch.term, batch.reports))
+        }
+        val reply = peers.ask(address, encoded, timeoutMs)
         val decisions = reply?.decisions
+        if (decisions != null) heard(to.member, to.term)
         return when {
             decisions != null -> BatchResult.Decided(decisions.map { it.toDecision() })
             reply != null -> BatchResult.NotLeading
@@ -275,8 +299,10 @@
     }
 
     private suspend fun forwardedReports(request: PeerRequest.Reports): PeerReply {
-        val mine = leading?.takeIf { it.term.revision == request.term }
-        val decisions = mine?.forwardedReports(request.toReports())
+        leading?.let { if (it.term.revision < request.term) depose(it.term, "${request.from} knows term ${request.term}") }
+        val mine = leading?.takeIf { it.term.revision == request.term && it.ready }
+        if (mine != null) peerHeardMs[request.from] = clocks.steadyMs()
+        val decisions = mine?.forwardedReports(services.workTimes.measure(WorkPart.FORWARDED_DECODING) { request.toReports() })
         return PeerReply(
             status = if (decisions == null) 503 else 200,
             leader = leader,
@@ -317,6 +343,9 @@
         /** By then a leader that lives would have been heard, however slow its start. */
         private const val SILENT_LEASES = 3
 
+        /** The work's times are logged once in so many report periods. */
+        private const val WORK_LOG_REPORTS = 5
+
         /** Machines come and go; what was told of the present ones comes again soon. */
         private const val MOST_IMAGES_TOLD = 10_000
     }
--- a/src/main/kotlin/cleathitch/cloud/CloudClient.kt
+++ b/src/main/kotlin/cleathitch/cloud/CloudClient.kt
@@ -1,5 +1,7 @@
 package cleathitch.cloud
 
+import cleathitch.WorkPart
+import cleathitch.WorkTimes
 import cleathitch.core.Event
 import cleathitch.core.ListedMachine
 import cleathitch.core.MachineId
@@ -34,7 +36,13 @@
 }
 
 /** The cloud's interface; every failure is a value. */
-class CloudClient(vertx: Vertx, private val address: Address, private val budget: CallBudget, private val timeoutMs: Long) {
+class CloudClient(
+    vertx: Vertx,
+    private val address: Address,
+    private val budget: CallBudget,
+    private val timeoutMs: Long,
+    private val workTimes: WorkTimes,
+) {
     private val caller = Caller(vertx, connections = 4)
 
     suspend fun types(): List<MachineType>? =
@@ -47,7 +55,7 @@
         while (true) {
             val since = if (after == null) "" else "&since=$after"
             val answer = call(HttpMethod.GET, "/hosts?most=$PAGE$since", null)?.takeIf { it.status == 200 }
-            val page = read(answer) { CloudWire.page(it.body) } ?: return null
+            val page = read(answer) { workTimes.measure(WorkPart.MACHINE_LIST) { CloudWire.page(it.body) } } ?: return null
             all += page.machines
             after = page.machines.lastOrNull()?.machine?.text
             if (!page.more || after == null) return all
--- /dev/null
+++ b/src/main/kotlin/cleathitch/core/CommandQueue.kt
@@ -0,0 +1,73 @@
+package cleathitch.core
+
+/**
+ * The commands that wait for the engine, handed out in bounded batches, the urgent ones first.
+ *
+ * Requests beyond [mostRequests] are refused, so a flood costs memory and time within limits. Each batch takes
+ * everything that is known of lease and commits and a bounded part of every other kind, so no kind waits for the end of
+ * another. Requests about the same job and reports of the same machine stay in their order.
+ */
+class CommandQueue(private val mostRequests: Int) {
+    /** The kinds of commands in the order in which a batch holds them. */
+    private enum class Urgency(val mostPerBatch: Int, val isRequest: Boolean) {
+        /** What was asked of others and is answered by now: lease, commits, machine types. */
+        OUTCOME(Int.MAX_VALUE, isRequest = false),
+        REPORT_OR_CANCELLATION(256, isRequest = true),
+        POLL(128, isRequest = true),
+        SUBMISSION(64, isRequest = true),
+        OTHER(16, isRequest = false),
+    }
+
+    private val waiting = Urgency.entries.associateWith { ArrayDeque<Command>() }
+
+    /** How many submissions of each job wait: what is asked about the job later must not overtake them. */
+    private val waitingSubmissions = HashMap<JobId, Int>()
+
+    /** How many requests wait, of all kinds. */
+    var requests = 0
+        private set
+
+    val isEmpty get() = waiting.values.all { it.isEmpty() }
+
+    /** Adds the command; false if it is a request and too many wait already. */
+    fun offer(command: Command): Boolean {
+        val urgency = urgencyOf(command)
+        if (urgency.isRequest) {
+            if (requests >= mostRequests) return false
+            requests++
+        }
+        if (command is Command.Submit) waitingSubmissions.merge(command.spec.id, 1, Int::plus)
+        waiting.getValue(urgency).addLast(command)
+        return true
+    }
+
+    /** The next commands for the engine; requests that nobody awaits any more are dropped. */
+    fun nextBatch(isAwaited: (Command) -> Boolean): List<Command> {
+        val batch = ArrayList<Command>()
+        for ((urgency, commands) in waiting) {
+            repeat(minOf(urgency.mostPerBatch, commands.size)) {
+                val command = commands.removeFirst()
+                noteTaken(command, urgency)
+                if (isAwaited(command)) batch += command
+            }
+        }
+        return batch
+    }
+
+    private fun noteTaken(command: Command, urgency: Urgency) {
+        if (urgency.isRequest) requests--
+        if (command is Command.Submit) {
+            waitingSubmissions.computeIfPresent(command.spec.id) { _, count -> (count - 1).takeIf { it > 0 } }
+        }
+    }
+
+    private fun urgencyOf(command: Command): Urgency = when (command) {
+        is Command.LeaseHeld, is Command.Committed, is Command.TypesListed, is Command.ImagesTold -> Urgency.OUTCOME
+        is Command.Reported, is Command.ReportsForwarded, is Command.Inspected, is Command.DirectUnanswered ->
+            Urgency.REPORT_OR_CANCELLATION
+        is Command.Abort -> if (command.job in waitingSubmissions) Urgency.SUBMISSION else Urgency.REPORT_OR_CANCELLATION
+        is Command.Poll -> if (command.job in waitingSubmissions) Urgency.SUBMISSION else Urgency.POLL
+        is Command.Submit -> Urgency.SUBMISSION
+        is Command.MachinesListed, is Command.RentalAnswered, is Command.Returned, Command.Tick -> Urgency.OTHER
+    }
+}
--- a/src/main/kotlin/cleathitch/peers/Messages.kt
+++ b/src/main/kotlin/cleathitch/peers/Messages.kt
@@ -37,8 +37,8 @@
         }
 
         companion object {
-            /** So many machines' images fit into a body by far. */
-            private const val MACHINES_EACH = 400
+            /** So many machines' images fit into a body by far, and are encoded in little time. */
+            private const val MACHINES_EACH = 200
 
             fun of(held: Map<MachineId, HeldImages>): List<Images> {
                 val sizes = LinkedHashMap<String, Double>()
@@ -53,13 +53,19 @@
     /** Reports of workers that came to a follower, for the leader of [term]. */
     @Serializable
     @SerialName("reports")
-    data class Reports(val term: Long, val whole: List<ReportMessage>, val heartbeats: List<HeartbeatMessage>) : PeerRequest {
+    data class Reports(
+        val from: String,
+        val term: Long,
+        val whole: List<ReportMessage>,
+        val heartbeats: List<HeartbeatMessage>,
+    ) : PeerRequest {
         fun toReports(): List<ForwardedReport> =
             whole.map { ForwardedReport.Whole(it.toReport()) } + heartbeats.map { it.toHeartbeat() }
 
         companion object {
             /** [reports] must hold the whole reports first, since that is the order of the decisions. */
-            fun of(term: Long, reports: List<ForwardedReport>) = Reports(
+            fun of(from: String, term: Long, reports: List<ForwardedReport>) = Reports(
+                from,
                 term,
                 reports.filterIsInstance<ForwardedReport.Whole>().map { ReportMessage.of(it.report) },
                 reports.filterIsInstance<ForwardedReport.Heartbeat>().map(HeartbeatMessage::of),
--- a/src/main/kotlin/cleathitch/peers/PeerClient.kt
+++ b/src/main/kotlin/cleathitch/peers/PeerClient.kt
@@ -12,8 +12,12 @@
 class PeerClient(vertx: Vertx) {
     private val caller = Caller(vertx, connections = CONNECTIONS, connectMs = 500)
 
-    suspend fun ask(peer: Address, request: PeerRequest, timeoutMs: Long): PeerReply? {
-        val answer = caller.call(peer, HttpMethod.POST, PATH, PeerCodec.encode(request), timeoutMs) ?: return null
+    suspend fun ask(peer: Address, request: PeerRequest, timeoutMs: Long): PeerReply? =
+        ask(peer, PeerCodec.encode(request), timeoutMs)
+
+    /** Sends an encoded request, so that one that goes to several peers is encoded once. */
+    suspend fun ask(peer: Address, encoded: ByteArray, timeoutMs: Long): PeerReply? {
+        val answer = caller.call(peer, HttpMethod.POST, PATH, encoded, timeoutMs) ?: return null
         if (answer.status != 200) return null
         return try {
             PeerCodec.decodeReply(answer.body)
--- a/src/main/kotlin/cleathitch/state/Store.kt
+++ b/src/main/kotlin/cleathitch/state/Store.kt
@@ -1,5 +1,7 @@
 package cleathitch.state
 
+import cleathitch.WorkPart
+import cleathitch.WorkTimes
 import cleathitch.core.Change
 import cleathitch.core.Commit
 import cleathitch.core.Journal
@@ -22,6 +24,7 @@
     private val prefix: String,
     private val leaderKey: String,
     private val term: Term,
+    private val workTimes: WorkTimes,
 ) {
     private var headRevision = 0L
 
@@ -39,9 +42,8 @@
             }
             if (complete) {
                 headRevision = entries.firstOrNull { it.key == prefix + Journal.HEAD }?.revision ?: 0
-                return StoredCodec.snapshot(
-                    entries.map { StateWire.Entry(it.key.removePrefix(prefix), it.value, it.revision) },
-                )
+                val named = entries.map { StateWire.Entry(it.key.removePrefix(prefix), it.value, it.revision) }
+                return workTimes.measure(WorkPart.REPLAY) { StoredCodec.snapshot(named) }
             }
             delay(RETRY_MS)
         }
@@ -50,7 +52,7 @@
     /** Sends the same content until its fate is known; null if we lead no more. */
     suspend fun commit(commit: Commit): Long? {
         val guards = mapOf(leaderKey to term.revision, prefix + Journal.HEAD to headRevision)
-        val writes = commit.changes.flatMap(::writesOf)
+        val writes = workTimes.measure(WorkPart.COMMIT_ENCODING) { commit.changes.flatMap(::writesOf) }
         while (true) {
             when (val result = state.transaction(guards, writes)) {
                 is Txn.Done -> return result.revision.also { headRevision = it }
--- /dev/null
+++ b/src/test/kotlin/cleathitch/core/CommandQueueTest.kt
@@ -0,0 +1,77 @@
+package cleathitch.core
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** A flood of requests, and what must not wait behind it. */
+class CommandQueueTest {
+    private val queue = CommandQueue(mostRequests = 1000)
+    private var requests = 0L
+
+    private fun request() = RequestId(++requests)
+    private fun submit(job: Int) = Command.Submit(request(), World.job(job))
+    private fun poll(job: Int) = Command.Poll(request(), World.job(job).id)
+    private fun abort(job: Int) = Command.Abort(request(), World.job(job).id)
+    private fun next(isAwaited: (Command) -> Boolean = { true }) = queue.nextBatch(isAwaited)
+
+    @Test
+    fun `what comes in the middle of a flood about lease and commits is in the very next batch, and first`() {
+        repeat(1000) { queue.offer(submit(it)) }
+        next()
+        queue.offer(Command.LeaseHeld(5))
+        queue.offer(Command.Committed(Seq(1), 2))
+        assertEquals(listOf(Command.LeaseHeld(5), Command.Committed(Seq(1), 2)), next().take(2))
+    }
+
+    @Test
+    fun `a cancellation is in the next batch, before the submissions of a flood`() {
+        repeat(900) { queue.offer(submit(it)) }
+        val abort = abort(job = 5000)
+        queue.offer(abort)
+        assertEquals(abort, next().first())
+    }
+
+    @Test
+    fun `a batch is bounded, and takes some of each kind`() {
+        repeat(400) { queue.offer(submit(it)) }
+        repeat(400) { queue.offer(poll(1000 + it)) }
+        queue.offer(Command.Tick)
+        val batch = next()
+        assertTrue(batch.size < 300) { "${batch.size}" }
+        assertTrue(batch.any { it is Command.Submit } && batch.any { it is Command.Poll } && Command.Tick in batch)
+    }
+
+    @Test
+    fun `requests over the bound are refused, and what isn't a request is not`() {
+        repeat(1000) { assertTrue(queue.offer(submit(it))) }
+        assertFalse(queue.offer(poll(1)))
+        assertTrue(queue.offer(Command.Committed(Seq(1), 2)))
+        next()
+        assertTrue(queue.offer(poll(1)))
+    }
+
+    @Test
+    fun `requests about one job keep their order`() {
+        val commands = listOf(submit(job = 1), abort(job = 1), poll(job = 1))
+        commands.forEach { queue.offer(it) }
+        assertEquals(commands, next())
+        // Once the submission is out, a poll needn't wait behind those of others.
+        val others = listOf(submit(job = 2), poll(job = 1))
+        others.forEach { queue.offer(it) }
+        assertEquals(others.reversed(), next())
+    }
+
+    @Test
+    fun `what its sender gave up on is dropped and makes room`() {
+        repeat(1000) { queue.offer(submit(it)) }
+        var batches = 0
+        while (!queue.isEmpty) {
+            assertEquals(emptyList<Command>(), next { false })
+            batches++
+        }
+        assertTrue(batches < 20)
+        assertEquals(0, queue.requests)
+    }
+}
--- a/src/test/kotlin/cleathitch/workers/ReportQueueTest.kt
+++ b/src/test/kotlin/cleathitch/workers/ReportQueueTest.kt
@@ -142,7 +142,7 @@
         while (true) {
             val batch = queue.nextBatch(9, 0) ?: break
             seen += batch.reports.map { it.machine }
-            assertTrue(PeerCodec.encode(PeerRequest.Reports.of(9, batch.reports)).size <= PeerClient.MOST_BODY)
+            assertTrue(PeerCodec.encode(PeerRequest.Reports.of("n1", 9, batch.reports)).size <= PeerClient.MOST_BODY)
             queue.decided(batch, batch.reports.map { answer }, currentTerm = 9, nowMs = 0)
         }
         assertEquals(machines + 1, seen.size)
@@ -155,7 +155,7 @@
         queue.add(report(machine = 1, seq = 2), 0) { perMachine[1] = it }
         queue.add(report(machine = 2, seq = 1), 0) { perMachine[2] = it }
         val batch = batch()
-        val received = PeerCodec.decodeRequest(PeerCodec.encode(PeerRequest.Reports.of(9, batch.reports))) as PeerRequest.Reports
+        val received = PeerCodec.decodeRequest(PeerCodec.encode(PeerRequest.Reports.of("n1", 9, batch.reports))) as PeerRequest.Reports
         val decisions = received.toReports().map { if (it.machine == report(machine = 1).machine) ReportDecision.Refuse else answer }
         queue.decided(batch, decisions, currentTerm = 9, nowMs = 0)
         assertEquals(ForwardOutcome.Unanswered, perMachine[1])
