--- a/src/main/kotlin/cleathitch/LeaderTerm.kt
+++ b/src/main/kotlin/cleathitch/LeaderTerm.kt
@@ -15,10 +15,11 @@
 import cleathitch.core.Moment
 import cleathitch.core.NoteLevel
 import cleathitch.core.Report
-import cleathitch.core.ReportDecision
 import cleathitch.core.RequestId
 import cleathitch.core.Tuning
 import cleathitch.core.UserReply
+import cleathitch.peers.CommandDelivery
+import cleathitch.peers.DirectResultMessage
 import cleathitch.state.Lease
 import cleathitch.state.Store
 import cleathitch.state.StoredCodec
@@ -64,11 +65,13 @@
     private val store: Store,
     private val knownTypes: List<MachineType>,
     private val imagesTold: Map<MachineId, HeldImages>,
+    newDelivery: ((Command) -> Unit) -> CommandDelivery,
     private val tellImages: (Map<MachineId, HeldImages>) -> Unit,
     private val stepDown: (Effect.StepDown) -> Unit,
 ) {
     private val queue = CommandQueue(services.mostRequests)
     private val wakeUp = Channel<Unit>(Channel.CONFLATED)
+    private val delivery = newDelivery(::post)
     private class Asked<T>(val sinceMs: Long) {
         val answer = CompletableDeferred<T?>()
     }
@@ -76,7 +79,7 @@
     /** Open requests, the oldest first; the tick ends those that are too old, as a timer for each cost a tenth of a report's work. */
     private val users = LinkedHashMap<RequestId, Asked<UserReply>>()
     private val reports = LinkedHashMap<RequestId, Asked<Effect.AnswerReport>>()
-    private val batches = LinkedHashMap<RequestId, Asked<Effect.AnswerForwarded>>()
+    private val batches = LinkedHashMap<RequestId, Asked<Effect.AnswerFollower>>()
     private var requests = 0L
     private var lastBatchMsPerCommand = 0.0
 
@@ -104,13 +107,16 @@
         return ask(reports, request, Command.Reported(request, report), refusal = null)
     }
 
-    /** Null if nothing can be decided about the [forwarded] reports. */
-    suspend fun forwardedReports(forwarded: List<ForwardedReport>): List<ReportDecision>? {
+    /** Null if nothing can be decided now about the reports and polls that a follower hands on. */
+    suspend fun followerBatch(reports: List<ForwardedReport>, polls: List<JobId>): Effect.AnswerFollower? {
         if (!ready) return null
         val request = RequestId(++requests)
-        return ask(batches, request, Command.ReportsForwarded(request, forwarded), refusal = null)?.decisions
+        return ask(batches, request, Command.FollowerBatch(request, reports, polls), refusal = null)
     }
 
+    /** Answers of workers to commands that a follower delivered for this leader. */
+    fun directResults(results: List<DirectResultMessage>) = delivery.answered(results)
+
     /** The answer to [command], or [refusal] if too much waits already. */
     private suspend fun <T> ask(open: LinkedHashMap<RequestId, Asked<T>>, request: RequestId, command: Command, refusal: T?): T? {
         if (!queue.offer(command)) return refusal
@@ -144,7 +150,7 @@
         is Command.Poll -> command.request in users
         is Command.Abort -> command.request in users
         is Command.Reported -> command.request in reports
-        is Command.ReportsForwarded -> command.request in batches
+        is Command.FollowerBatch -> command.request in batches
         else -> true
     }
 
@@ -187,7 +193,9 @@
                 post(Command.LeaseHeld(lease.heldUntilMs))
                 val batch = queue.nextBatch(::isAwaited)
                 batchSizes.record(batch.size.toDouble())
-                handle(engine, batch).forEach { perform(it) }
+                val effects = handle(engine, batch)
+                effects.forEach { perform(it) }
+                delivery.deliver(this, effects.filterIsInstance<Effect.ToWorker>())
                 // Between two batches of a flood everything else on this loop gets its turn.
                 yield()
             }
@@ -209,17 +217,13 @@
             )
             is Effect.AnswerReport -> reports[effect.request]?.answer?.complete(effect)
             is Effect.RefuseReport -> reports[effect.request]?.answer?.complete(null)
-            is Effect.AnswerForwarded -> batches[effect.request]?.answer?.complete(effect)
+            is Effect.AnswerFollower -> batches[effect.request]?.answer?.complete(checked(effect))
             is Effect.Write -> launch {
                 val revision = store.commit(effect.commit)
                 if (revision == null) stepDown(Effect.StepDown("a transaction was refused")) else post(Command.Committed(effect.commit.seq, revision))
             }
-            is Effect.Push -> launch {
-                post(directAnswer(effect.machine, services.workers.push(effect)))
-            }
-            is Effect.Inspect -> launch {
-                post(directAnswer(effect.machine, services.workers.inspect(effect.machine, effect.addr)))
-            }
+            // Sent together with the others of its batch.
+            is Effect.ToWorker -> Unit
             is Effect.Rent -> launch {
                 val answer = services.cloud.rent(effect.asked)
                 post(Command.RentalAnswered(effect.asked.request, answer))
@@ -237,8 +241,13 @@
         }
     }
 
-    private fun directAnswer(machine: MachineId, report: Report?) =
-        if (report == null) Command.DirectUnanswered(machine) else Command.Inspected(report)
+    /** As for single answers to users: nothing leaves after a standstill that outlasted the lease. */
+    private fun checked(answer: Effect.AnswerFollower): Effect.AnswerFollower =
+        if (services.clocks.steadyMs() < lease.heldUntilMs) {
+            answer
+        } else {
+            answer.copy(statuses = answer.statuses.map { UserReply.NotNow("no lease") })
+        }
 
     private suspend fun tick() {
         while (true) {
--- a/src/main/kotlin/cleathitch/Node.kt
+++ b/src/main/kotlin/cleathitch/Node.kt
@@ -1,7 +1,9 @@
 package cleathitch
 
 import cleathitch.config.Settings
+import cleathitch.core.Command
 import cleathitch.core.HeldImages
+import cleathitch.core.JobId
 import cleathitch.core.MachineId
 import cleathitch.core.MachineType
 import cleathitch.core.Report
@@ -9,12 +11,18 @@
 import cleathitch.core.UserReply
 import cleathitch.peers.BatchResult
 import cleathitch.peers.DecisionMessage
+import cleathitch.peers.Carriers
+import cleathitch.peers.CommandDelivery
+import cleathitch.peers.DirectMessage
+import cleathitch.peers.DirectResult
 import cleathitch.peers.KnownLeader
+import cleathitch.peers.LeaderBatches
+import cleathitch.peers.OutgoingBatch
+import cleathitch.peers.StatusMessage
 import cleathitch.peers.PeerClient
 import cleathitch.peers.PeerCodec
 import cleathitch.peers.PeerReply
 import cleathitch.peers.PeerRequest
-import cleathitch.peers.ReportForwarder
 import cleathitch.protocol.HttpReply
 import cleathitch.protocol.Malformed
 import cleathitch.protocol.UserWire
@@ -25,7 +33,6 @@
 import cleathitch.state.StateClient
 import cleathitch.state.Store
 import cleathitch.workers.ForwardOutcome
-import cleathitch.workers.ReportQueue
 import cleathitch.workers.WorkerDistribution
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -65,20 +72,23 @@
     private val leaderFound = CompletableDeferred<Unit>()
     private var types: List<MachineType> = emptyList()
     private val imagesTold = HashMap<MachineId, HeldImages>()
+
+    /** The follower through which each machine last reported to us as leader. */
+    private val reportsTo = HashMap<MachineId, String>()
     private val distribution = WorkerDistribution(reportMs)
-    private val forwarder = ReportForwarder(
+    private val batches = LeaderBatches(
         intervalMs = services.tuning.forwardMs,
         unreachableMs = leaseMs,
         nowMs = clocks::steadyMs,
         leader = ::otherLeader,
-        send = ::sendReports,
+        send = ::sendBatch,
     )
 
     /** Takes part in the election, and returns once there is a leader, or there seems to be none soon. */
     suspend fun start() {
         scope.launch { learnTypes() }
         scope.launch { tellPeers() }
-        scope.launch { forwarder.run() }
+        scope.launch { batches.run() }
         if (log.isInfoEnabled) scope.launch { logWorkTimes() }
         leaseScope.launch { leadership.run(this@Node) }
         // Until there is someone to send them to, users and workers only keep us from finding that out.
@@ -115,13 +125,30 @@
         val term = lease.term
         log.info("term {}: elected", term.revision)
         val store = Store(state, PREFIX, LEADER_KEY, term, services.workTimes)
-        val mine = LeaderTerm(lease, services, store, types, HashMap(imagesTold), ::tellImages) { depose(term, it.reason, it.handOver) }
+        val mine = LeaderTerm(lease, services, store, types, HashMap(imagesTold), { newDelivery(term, it) }, ::tellImages) {
+            depose(term, it.reason, it.handOver)
+        }
         leading = mine
         leader = settings.member
         leaderTerm = term.revision
         leadingJob = scope.launch { mine.run { leaderFound.complete(Unit) } }
     }
 
+    private fun newDelivery(term: Term, post: (Command) -> Unit) = CommandDelivery(
+        settings.member, term.revision, services.workers, peers, carriers, openMs = reportMs, clocks::steadyMs, post,
+    )
+
+    private val carriers = object : Carriers {
+        override fun alive() = reachableFollowers()
+        override fun reportsTo(machine: MachineId) = reportsTo[machine]
+        override fun addressOf(follower: String) = peerAddresses[follower]
+    }
+
+    private fun reachableFollowers(): List<String> {
+        val now = clocks.steadyMs()
+        return peerHeardMs.filterValues { now - it < leaseMs }.keys.toList()
+    }
+
     private fun depose(term: Term, reason: String, handOver: Boolean = false) {
         val mine = leading ?: return
         if (mine.term != term) return
@@ -219,6 +246,8 @@
             return HttpReply(400, UserWire.error(e.message.orEmpty()))
         }
         leading?.let { return UserWire.reply(call(it)) }
+        val polled = if (method == "GET") UserWire.jobId(path.removePrefix("/submissions/")) else null
+        if (polled != null) return poll(polled)
         val address = leader?.let(peerAddresses::get)
         if (!forwarded && address != null) {
             val reply = peers.ask(address, PeerRequest.User(method, path, body), FORWARD_MS)
@@ -227,6 +256,12 @@
         return UserWire.elsewhere("no way to the leader")
     }
 
+    /** A poll that came to a follower: its leader is asked together with others. */
+    private suspend fun poll(job: JobId): HttpReply {
+        val reply = if (otherLeader() == null || batches.leaderUnreachable) null else batches.status(job)
+        return reply?.let(UserWire::reply) ?: UserWire.elsewhere("no way to the leader")
+    }
+
     private fun isUserPath(path: String): Boolean {
         val parts = path.removePrefix("/submissions").trim('/').split('/')
         return path == "/submissions" || parts.size == 1 || (parts.size == 2 && parts[1] == "abort")
@@ -251,7 +286,7 @@
     private suspend fun workerReport(body: ByteArray): HttpReply {
         // Right after an election the whole fleet comes at once; what needs no look at the report gets none.
         if (leading?.ready == false || leading == null && leader == null) return HttpReply(503)
-        if (leading == null && forwarder.leaderUnreachable) return HttpReply(421, WorkerWire.elsewhere(leader))
+        if (leading == null && batches.leaderUnreachable) return HttpReply(421, WorkerWire.elsewhere(leader))
         val report = try {
             services.workTimes.measure(WorkPart.REPORT_DECODING) { WorkerWire.report(body) }
         } catch (e: Malformed) {
@@ -259,16 +294,14 @@
             return HttpReply(400, UserWire.error(e.message.orEmpty()))
         }
         leading?.let { return reportToUs(it, report) }
-        return when (val outcome = forwarder.forward(report)) {
+        return when (val outcome = batches.decide(report)) {
             is ForwardOutcome.Answered -> HttpReply(200, WorkerWire.answer(outcome.version, outcome.orders))
             ForwardOutcome.Unanswered -> HttpReply(503)
         }
     }
 
     private suspend fun reportToUs(mine: LeaderTerm, report: Report): HttpReply {
-        val now = clocks.steadyMs()
-        val followers = peerHeardMs.filterValues { now - it < leaseMs }.keys.toList()
-        distribution.followerFor(report.machine, followers, now)?.let { return HttpReply(421, WorkerWire.elsewhere(it)) }
+        distribution.followerFor(report.machine, reachableFollowers(), clocks.steadyMs())?.let { return HttpReply(421, WorkerWire.elsewhere(it)) }
         val answer = mine.report(report)
         return when {
             answer != null -> HttpReply(200, WorkerWire.answer(answer.version, answer.orders))
@@ -281,36 +314,65 @@
     private fun otherLeader(): KnownLeader? =
         leader?.takeIf { leading == null && it != settings.member }?.let { KnownLeader(it, leaderTerm) }
 
-    private suspend fun sendReports(to: KnownLeader, batch: ReportQueue.Batch, timeoutMs: Long): BatchResult {
+    private suspend fun sendBatch(to: KnownLeader, batch: OutgoingBatch, timeoutMs: Long): BatchResult {
         val address = peerAddresses[to.member] ?: return BatchResult.NotLeading
         val sentMs = clocks.steadyMs()
         val encoded = services.workTimes.measure(WorkPart.BATCH_ENCODING) {
-            PeerCodec.encode(PeerRequest.Reports.of(settings.member, batch.term, batch.reports))
+            PeerCodec.encode(PeerRequest.Batch.of(settings.member, batch))
         }
         val reply = peers.ask(address, encoded, timeoutMs)
         val decisions = reply?.decisions
-        if (decisions != null) heard(to.member, to.term)
+        val statuses = reply?.statuses
+        if (decisions != null && statuses != null) {
+            heard(to.member, to.term)
+            return BatchResult.Answered(
+                decisions.map { it.toDecision() },
+                batch.polls.zip(statuses) { job, status -> status.toReply(job) },
+            )
+        }
         return when {
-            decisions != null -> BatchResult.Decided(decisions.map { it.toDecision() })
             reply != null -> BatchResult.NotLeading
             clocks.steadyMs() - sentMs < timeoutMs -> BatchResult.Unreachable
             else -> BatchResult.TimedOut
         }
     }
 
-    private suspend fun forwardedReports(request: PeerRequest.Reports): PeerReply {
+    private suspend fun decide(request: PeerRequest.Batch): PeerReply {
         leading?.let { if (it.term.revision < request.term) depose(it.term, "${request.from} knows term ${request.term}") }
         val mine = leading?.takeIf { it.term.revision == request.term && it.ready }
-        if (mine != null) peerHeardMs[request.from] = clocks.steadyMs()
-        val decisions = mine?.forwardedReports(services.workTimes.measure(WorkPart.FORWARDED_DECODING) { request.toReports() })
+            ?: return PeerReply(503, leader = leader, term = leaderTerm)
+        peerHeardMs[request.from] = clocks.steadyMs()
+        mine.directResults(request.directResults)
+        val reports = services.workTimes.measure(WorkPart.BATCH_DECODING) { request.toReports() }
+        if (reportsTo.size > MOST_MACHINES_KNOWN) reportsTo.clear()
+        reports.forEach { reportsTo[it.machine] = request.from }
+        val answer = mine.followerBatch(reports, request.polls)
         return PeerReply(
-            status = if (decisions == null) 503 else 200,
+            status = if (answer == null) 503 else 200,
             leader = leader,
             term = leaderTerm,
-            decisions = decisions?.map(DecisionMessage::of),
+            decisions = answer?.decisions?.map(DecisionMessage::of),
+            statuses = answer?.statuses?.map(StatusMessage::of),
         )
     }
 
+    /** Carries commands of the leader to workers; what they answer goes back with the next batches. */
+    private fun deliver(request: PeerRequest.Deliver): PeerReply {
+        heard(request.from, request.term)
+        val isFromLeader = leading == null && leader == request.from && leaderTerm == request.term
+        if (isFromLeader) request.commands.forEach { command -> scope.launch { deliver(request.term, command) } }
+        return PeerReply(if (isFromLeader) 200 else 503, leader = leader, term = leaderTerm)
+    }
+
+    private suspend fun deliver(term: Long, command: DirectMessage) {
+        val report = if (command.orders.isEmpty()) {
+            services.workers.inspect(command.machine, command.address)
+        } else {
+            services.workers.push(command.toPush())
+        }
+        if (report != null) batches.tell(DirectResult(term, command.id, report))
+    }
+
     suspend fun peer(request: PeerRequest): PeerReply = when (request) {
         is PeerRequest.Leads -> {
             heard(request.from, request.term)
@@ -323,7 +385,8 @@
         }
         is PeerRequest.User -> user(request.method, request.path, request.body, forwarded = true)
             .let { PeerReply(it.status, it.body, it.retryAfterS, leader, leaderTerm) }
-        is PeerRequest.Reports -> forwardedReports(request)
+        is PeerRequest.Batch -> decide(request)
+        is PeerRequest.Deliver -> deliver(request)
     }
 
     companion object {
@@ -348,5 +411,6 @@
 
         /** Machines come and go; what was told of the present ones comes again soon. */
         private const val MOST_IMAGES_TOLD = 10_000
+        private const val MOST_MACHINES_KNOWN = 10_000
     }
 }
--- a/src/main/kotlin/cleathitch/WorkTimes.kt
+++ b/src/main/kotlin/cleathitch/WorkTimes.kt
@@ -8,7 +8,7 @@
 enum class WorkPart {
     REPORT_DECODING,
     BATCH_ENCODING,
-    FORWARDED_DECODING,
+    BATCH_DECODING,
     ENGINE,
     COMMIT_ENCODING,
     MACHINE_LIST,
--- a/src/main/kotlin/cleathitch/core/CommandQueue.kt
+++ b/src/main/kotlin/cleathitch/core/CommandQueue.kt
@@ -63,7 +63,7 @@
 
     private fun urgencyOf(command: Command): Urgency = when (command) {
         is Command.LeaseHeld, is Command.Committed, is Command.TypesListed, is Command.ImagesTold -> Urgency.OUTCOME
-        is Command.Reported, is Command.ReportsForwarded, is Command.Inspected, is Command.DirectUnanswered ->
+        is Command.Reported, is Command.FollowerBatch, is Command.Inspected, is Command.DirectUnanswered ->
             Urgency.REPORT_OR_CANCELLATION
         is Command.Abort -> if (command.job in waitingSubmissions) Urgency.SUBMISSION else Urgency.REPORT_OR_CANCELLATION
         is Command.Poll -> if (command.job in waitingSubmissions) Urgency.SUBMISSION else Urgency.POLL
--- a/src/main/kotlin/cleathitch/core/Commands.kt
+++ b/src/main/kotlin/cleathitch/core/Commands.kt
@@ -9,8 +9,12 @@
     /** A report of a machine that came to this node itself and waits for an answer. */
     data class Reported(val request: RequestId, val report: Report) : Command
 
-    /** Reports of machines that came to a follower, each of which waits for a decision. */
-    data class ReportsForwarded(val request: RequestId, val reports: List<ForwardedReport>) : Command
+    /** Reports of machines and polls of users that came to a follower, each of which waits for its answer. */
+    data class FollowerBatch(
+        val request: RequestId,
+        val reports: List<ForwardedReport>,
+        val polls: List<JobId> = emptyList(),
+    ) : Command
 
     /** A report that came as the answer to orders sent directly. */
     data class Inspected(val report: Report) : Command
@@ -47,19 +51,29 @@
     data class AnswerReport(val request: RequestId, val version: OrderVersion, val orders: List<Order>) : Effect
     data class RefuseReport(val request: RequestId) : Effect
 
-    /** The decisions about forwarded reports, in the order of the reports. */
-    data class AnswerForwarded(val request: RequestId, val decisions: List<ReportDecision>) : Effect
+    /** The decisions about a follower's reports and the answers to its polls, each in the order of the batch. */
+    data class AnswerFollower(
+        val request: RequestId,
+        val decisions: List<ReportDecision>,
+        val statuses: List<UserReply> = emptyList(),
+    ) : Effect
     data class Write(val commit: Commit) : Effect
+
+    /** Something that goes to a worker other than as the answer to its report. */
+    sealed interface ToWorker : Effect {
+        val machine: MachineId
+    }
+
     data class Push(
-        val machine: MachineId,
+        override val machine: MachineId,
         val addr: String,
         val session: Long,
         val version: OrderVersion,
         val orders: List<Order>,
-    ) : Effect
+    ) : ToWorker
 
     /** Asks a machine for its report. */
-    data class Inspect(val machine: MachineId, val addr: String) : Effect
+    data class Inspect(override val machine: MachineId, val addr: String) : ToWorker
     data class Rent(val asked: Event.RentalAsked) : Effect
     data class Return(val machines: List<MachineId>) : Effect
 
--- a/src/main/kotlin/cleathitch/core/Engine.kt
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -173,7 +173,7 @@
             is Command.Poll -> users.poll(command)
             is Command.Abort -> users.abort(command)
             is Command.Reported -> reported(command)
-            is Command.ReportsForwarded -> reportsForwarded(command)
+            is Command.FollowerBatch -> followerBatch(command)
             is Command.Inspected -> inspected(command.report)
             is Command.DirectUnanswered -> fleet.machines[command.machine]?.let { directReachability.unanswered(it, now.steadyMs) }
             is Command.LeaseHeld -> heldUntilMs = maxOf(heldUntilMs, command.untilMs)
@@ -265,8 +265,10 @@
         directReachability.answered()
     }
 
-    private fun reportsForwarded(command: Command.ReportsForwarded) {
-        effects += Effect.AnswerForwarded(command.request, command.reports.map(::decideForwarded))
+    private fun followerBatch(command: Command.FollowerBatch) {
+        val decisions = command.reports.map(::decideForwarded)
+        val statuses = command.polls.map { if (stepped) UserReply.NotNow("not the leader any more") else users.statusNow(it) }
+        effects += Effect.AnswerFollower(command.request, decisions, statuses)
     }
 
     private fun decideForwarded(forwarded: ForwardedReport): ReportDecision {
--- a/src/main/kotlin/cleathitch/core/Users.kt
+++ b/src/main/kotlin/cleathitch/core/Users.kt
@@ -85,10 +85,22 @@
     fun poll(command: Command.Poll) {
         val (request, id) = command
         if (!leading.leaseHeld()) return answer(request, UserReply.NotNow("no lease"))
-        ledger.finalState(id)?.let { return answer(request, UserReply.Status(id, shown(it), 0, 0)) }
-        val job = ledger.job(id) ?: return answer(request, UserReply.NotFound)
+        val acceptedSeq = ledger.job(id)?.acceptedSeq ?: Seq.NONE
+        gate(acceptedSeq, Effect.Answer(request, status(id)))
+    }
+
+    /** The job's status if it can be told at once; a poll of many that share an answer must not wait for a commit. */
+    fun statusNow(id: JobId): UserReply {
+        if (!leading.leaseHeld()) return UserReply.NotNow("no lease")
+        val acceptedSeq = ledger.job(id)?.acceptedSeq ?: Seq.NONE
+        return if (acceptedSeq <= journal.committed) status(id) else UserReply.NotNow("the job isn't recorded yet")
+    }
+
+    private fun status(id: JobId): UserReply {
+        ledger.finalState(id)?.let { return UserReply.Status(id, shown(it), 0, 0) }
+        val job = ledger.job(id) ?: return UserReply.NotFound
         val running = job.live.values.count { it.seen == TaskState.RUNNING }
-        gate(job.acceptedSeq, Effect.Answer(request, UserReply.Status(id, shownState(job), job.doneCount, running)))
+        return UserReply.Status(id, shownState(job), job.doneCount, running)
     }
 
     fun abort(command: Command.Abort) {
--- /dev/null
+++ b/src/main/kotlin/cleathitch/peers/LeaderBatches.kt
@@ -0,0 +1,133 @@
+package cleathitch.peers
+
+import cleathitch.core.JobId
+import cleathitch.core.Report
+import cleathitch.core.ReportDecision
+import cleathitch.core.UserReply
+import cleathitch.workers.ForwardOutcome
+import cleathitch.workers.ReportQueue
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+
+/** The leader as a follower knows it. */
+data class KnownLeader(val member: String, val term: Long)
+
+/** What a follower hands to the leader in one request. */
+class OutgoingBatch(val reports: ReportQueue.Batch, val polls: List<JobId>, val directResults: List<DirectResult>)
+
+/** What came of a batch that was sent to the leader. */
+sealed interface BatchResult {
+    /** The leader's decisions and answers, in the order of the batch's reports and polls. */
+    data class Answered(val decisions: List<ReportDecision>, val statuses: List<UserReply>) : BatchResult
+
+    /** The node that was asked doesn't lead in the batch's term, or can't decide yet. */
+    data object NotLeading : BatchResult
+
+    /** The connection failed before the time was over. */
+    data object Unreachable : BatchResult
+    data object TimedOut : BatchResult
+}
+
+/**
+ * Hands what a follower takes in to the leader, in batches: workers' reports, users' polls, and the results of commands
+ * that the follower delivered to workers. One request is in flight, and before the next there is a short pause in
+ * which more gathers.
+ */
+class LeaderBatches(
+    private val intervalMs: Long,
+    private val unreachableMs: Long,
+    private val nowMs: () -> Long,
+    private val leader: () -> KnownLeader?,
+    private val send: suspend (KnownLeader, OutgoingBatch, timeoutMs: Long) -> BatchResult,
+) {
+    private val reports = ReportQueue(REPORT_WITHIN_MS)
+    private val polls = PollQueue(POLL_WITHIN_MS)
+    private val directResults = ArrayDeque<DirectResult>()
+    private val wakeUp = Channel<Unit>(Channel.CONFLATED)
+    private var unreachableSinceMs: Long? = null
+
+    /** The leader refused connections from this node a moment ago. */
+    val leaderUnreachable get() = unreachableSinceMs?.let { nowMs() - it < unreachableMs } == true
+
+    private val isEmpty get() = reports.isEmpty && polls.isEmpty && directResults.isEmpty()
+
+    /** Waits for the leader's decision about [report], for a bounded time. */
+    suspend fun decide(report: Report): ForwardOutcome {
+        val outcome = CompletableDeferred<ForwardOutcome>()
+        reports.add(report, nowMs()) { outcome.complete(it) }
+        wakeUp.trySend(Unit)
+        return outcome.await()
+    }
+
+    /** Waits for the leader's word about [job], for a bounded time; null if there is none. */
+    suspend fun status(job: JobId): UserReply? {
+        val status = CompletableDeferred<UserReply?>()
+        polls.add(job, nowMs()) { status.complete(it) }
+        wakeUp.trySend(Unit)
+        return status.await()
+    }
+
+    /** Tells the leader what came of a command that this node delivered for it. */
+    fun tell(result: DirectResult) {
+        directResults.addLast(result)
+        if (directResults.size > MOST_RESULTS) directResults.removeFirst()
+        wakeUp.trySend(Unit)
+    }
+
+    /** Sends batches until it is cancelled. */
+    suspend fun run() {
+        while (true) {
+            wakeUp.receive()
+            while (!isEmpty) {
+                if (!reports.isFull) delay(intervalMs)
+                sendNext()
+            }
+        }
+    }
+
+    private suspend fun sendNext() {
+        val known = leader() ?: return refuseAll()
+        val batch = OutgoingBatch(reports.nextBatch(known.term, nowMs()), polls.take(MOST_POLLS), takeResults(known.term))
+        if (batch.reports.isEmpty && batch.polls.isEmpty() && batch.directResults.isEmpty()) return
+        val timeoutMs = reports.timeLeftMs(batch.reports, nowMs())
+        val result = send(known, batch, timeoutMs)
+        unreachableSinceMs = if (result is BatchResult.Unreachable) nowMs() else null
+        val currentTerm = leader()?.term
+        when (result) {
+            is BatchResult.Answered -> {
+                reports.decided(batch.reports, result.decisions, currentTerm, nowMs())
+                polls.answered(batch.polls, if (currentTerm == known.term) result.statuses else emptyList(), nowMs())
+            }
+            BatchResult.NotLeading, BatchResult.Unreachable, BatchResult.TimedOut -> {
+                reports.unanswered(batch.reports)
+                polls.unanswered(batch.polls)
+            }
+        }
+    }
+
+    /** Results of commands of earlier terms mean nothing to the present leader. */
+    private fun takeResults(term: Long): List<DirectResult> {
+        val taken = List(minOf(directResults.size, MOST_RESULTS_PER_BATCH)) { directResults.removeFirst() }
+        return taken.filter { it.term == term }
+    }
+
+    private fun refuseAll() {
+        reports.refuseAll()
+        polls.refuseAll()
+        directResults.clear()
+    }
+
+    private companion object {
+        /** Workers wait 4 s for an answer; the rest of that is for the ways to this node and back. */
+        const val REPORT_WITHIN_MS = 3000L
+
+        /** Users wait 2 s for a poll's answer. */
+        const val POLL_WITHIN_MS = 1800L
+
+        /** A batch's other limits are those of its reports; polls and results are small. */
+        const val MOST_POLLS = 400
+        const val MOST_RESULTS_PER_BATCH = 40
+        const val MOST_RESULTS = 2000
+    }
+}
--- a/src/main/kotlin/cleathitch/peers/Messages.kt
+++ b/src/main/kotlin/cleathitch/peers/Messages.kt
@@ -2,6 +2,7 @@
 
 import cleathitch.core.ForwardedReport
 import cleathitch.core.HeldImages
+import cleathitch.core.JobId
 import cleathitch.core.MachineId
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
@@ -50,28 +51,37 @@
         }
     }
 
-    /** Reports of workers that came to a follower, for the leader of [term]. */
+    /** What came to a follower and is for the leader of [term] to decide. */
     @Serializable
-    @SerialName("reports")
-    data class Reports(
+    @SerialName("batch")
+    data class Batch(
         val from: String,
         val term: Long,
         val whole: List<ReportMessage>,
         val heartbeats: List<HeartbeatMessage>,
+        val polls: List<JobId>,
+        val directResults: List<DirectResultMessage>,
     ) : PeerRequest {
         fun toReports(): List<ForwardedReport> =
             whole.map { ForwardedReport.Whole(it.toReport()) } + heartbeats.map { it.toHeartbeat() }
 
         companion object {
-            /** [reports] must hold the whole reports first, since that is the order of the decisions. */
-            fun of(from: String, term: Long, reports: List<ForwardedReport>) = Reports(
+            /** The batch's reports hold the whole ones first, and so do the leader's decisions. */
+            fun of(from: String, batch: OutgoingBatch) = Batch(
                 from,
-                term,
-                reports.filterIsInstance<ForwardedReport.Whole>().map { ReportMessage.of(it.report) },
-                reports.filterIsInstance<ForwardedReport.Heartbeat>().map(HeartbeatMessage::of),
+                batch.reports.term,
+                batch.reports.reports.filterIsInstance<ForwardedReport.Whole>().map { ReportMessage.of(it.report) },
+                batch.reports.reports.filterIsInstance<ForwardedReport.Heartbeat>().map(HeartbeatMessage::of),
+                batch.polls,
+                batch.directResults.map { DirectResultMessage(it.id, ReportMessage.of(it.report)) },
             )
         }
     }
+
+    /** Commands of the leader of [term], which the follower delivers to workers; their results come in its batches. */
+    @Serializable
+    @SerialName("deliver")
+    data class Deliver(val from: String, val term: Long, val commands: List<DirectMessage>) : PeerRequest
 }
 
 @Serializable
@@ -83,8 +93,11 @@
     val leader: String? = null,
     val term: Long = 0,
 
-    /** Decisions about reports, in the order of [PeerRequest.Reports.toReports]. */
+    /** Decisions about reports, in the order of [PeerRequest.Batch.toReports]. */
     val decisions: List<DecisionMessage>? = null,
+
+    /** Answers to polls, in the order of [PeerRequest.Batch.polls]. */
+    val statuses: List<StatusMessage>? = null,
 )
 
 @OptIn(ExperimentalSerializationApi::class)
--- a/src/main/kotlin/cleathitch/peers/PeerClient.kt
+++ b/src/main/kotlin/cleathitch/peers/PeerClient.kt
@@ -30,8 +30,8 @@
     companion object {
         const val PATH = "/peer"
 
-        /** The largest request: a user's message with what CBOR adds. Batches of reports are cut to fit. */
-        const val MOST_BODY = Wire.MAX_BODY + 4096
+        /** A batch is cut to fit by far: each of its parts is bounded, or holds one message of at most a body's size. */
+        const val MOST_BODY = 4 * Wire.MAX_BODY
 
         /** To each peer: one request in flight on each, and an answer takes a few milliseconds. */
         const val CONNECTIONS = 16
--- a/src/main/kotlin/cleathitch/workers/ReportQueue.kt
+++ b/src/main/kotlin/cleathitch/workers/ReportQueue.kt
@@ -28,7 +28,8 @@
 
     /** Reports on their way to the leader of [term], the whole ones before the heartbeats. */
     class Batch internal constructor(val term: Long, val reports: List<ForwardedReport>, internal val entries: List<Waiting>) {
-        internal val oldestMs get() = entries.minOf { it.arrivedMs }
+        internal val oldestMs get() = entries.minOfOrNull { it.arrivedMs }
+        val isEmpty get() = entries.isEmpty()
     }
 
     private val waiting = LinkedHashMap<MachineId, Waiting>()
@@ -45,8 +46,8 @@
         waiting.put(report.machine, Waiting(report, nowMs, reply))?.reply?.invoke(ForwardOutcome.Unanswered)
     }
 
-    /** The next batch for the leader of [leaderTerm], or null if nothing waits. */
-    fun nextBatch(leaderTerm: Long, nowMs: Long): Batch? {
+    /** The next batch for the leader of [leaderTerm], empty if nothing waits. */
+    fun nextBatch(leaderTerm: Long, nowMs: Long): Batch {
         dropExpired(nowMs)
         if (leaderTerm != term) {
             // Another leader holds no report of these machines from us, and may hold none at all.
@@ -63,17 +64,16 @@
             if (full && chosen.isNotEmpty()) break
             chosen += forwarded to entry
         }
-        if (chosen.isEmpty()) return null
         chosen.forEach { (_, entry) -> waiting.remove(entry.report.machine) }
         val wholeFirst = chosen.sortedBy { (forwarded, _) -> forwarded is ForwardedReport.Heartbeat }
         return Batch(leaderTerm, wholeFirst.map { it.first }, wholeFirst.map { it.second })
     }
 
     /** For how long the leader's decisions about [batch] are of use. */
-    fun timeLeftMs(batch: Batch, nowMs: Long) = batch.oldestMs + answerWithinMs - nowMs
+    fun timeLeftMs(batch: Batch, nowMs: Long) = (batch.oldestMs ?: nowMs) + answerWithinMs - nowMs
 
-    /** The leader of [batch]'s term decided; [currentTerm] is that of the leader known by now. */
-    fun decided(batch: Batch, decisions: List<ReportDecision>, currentTerm: Long, nowMs: Long) {
+    /** The leader of [batch]'s term decided; [currentTerm] is that of the leader known by now, if there is one. */
+    fun decided(batch: Batch, decisions: List<ReportDecision>, currentTerm: Long?, nowMs: Long) {
         if (currentTerm != batch.term || decisions.size != batch.entries.size) return unanswered(batch)
         for ((entry, decision) in batch.entries.zip(decisions)) {
             when (decision) {
--- a/src/test/kotlin/cleathitch/core/ForwardedReportsTest.kt
+++ b/src/test/kotlin/cleathitch/core/ForwardedReportsTest.kt
@@ -7,7 +7,7 @@
 /** The leader decides about a report that a follower hands on exactly as about one that comes to it directly. */
 class ForwardedReportsTest : EngineTrace() {
     private fun forward(vararg reports: ForwardedReport): List<ReportDecision> =
-        step(Command.ReportsForwarded(request(), reports.toList())).filterIsInstance<Effect.AnswerForwarded>().single().decisions
+        step(Command.FollowerBatch(request(), reports.toList())).filterIsInstance<Effect.AnswerFollower>().single().decisions
 
     private fun whole(report: Report) = ForwardedReport.Whole(report)
 
@@ -110,9 +110,9 @@
     fun `a higher version in a batch ends the term and the answers`() {
         machines(2)
         val newer = report(0, seq = 2, version = OrderVersion.first(revision + 1000))
-        val effects = step(Command.ReportsForwarded(request(), listOf(whole(newer), whole(report(1, seq = 2)))))
+        val effects = step(Command.FollowerBatch(request(), listOf(whole(newer), whole(report(1, seq = 2)))))
         assertEquals(1, effects.filterIsInstance<Effect.StepDown>().size)
-        assertEquals(List(2) { ReportDecision.Refuse }, effects.filterIsInstance<Effect.AnswerForwarded>().single().decisions)
+        assertEquals(List(2) { ReportDecision.Refuse }, effects.filterIsInstance<Effect.AnswerFollower>().single().decisions)
     }
 
     @Test
--- a/src/test/kotlin/cleathitch/core/SilenceTest.kt
+++ b/src/test/kotlin/cleathitch/core/SilenceTest.kt
@@ -16,7 +16,7 @@
             heard.filter { it % roundsPerReport == round }.flatMap {
                 val report = report(it, seq, version ?: shown[it] ?: OrderVersion.first(revision))
                 val effects = step(if (throughFollower) forwarded(report) else Command.Reported(request(), report))
-                effects.filterIsInstance<Effect.AnswerForwarded>().flatMap { answer -> answer.decisions }
+                effects.filterIsInstance<Effect.AnswerFollower>().flatMap { answer -> answer.decisions }
                     .forEach { decision -> if (decision is ReportDecision.Answer) shown[it] = decision.version }
                 effects
             } + settle(rounds = 1)
@@ -26,7 +26,7 @@
     /** The newest version that each machine was answered with through a follower, which its next report shows. */
     private val shown = HashMap<Int, OrderVersion>()
 
-    private fun forwarded(report: Report) = Command.ReportsForwarded(request(), listOf(ForwardedReport.Whole(report)))
+    private fun forwarded(report: Report) = Command.FollowerBatch(request(), listOf(ForwardedReport.Whole(report)))
 
     private fun returned(effects: List<Effect>) = effects.filterIsInstance<Effect.Return>().flatMapTo(HashSet()) { it.machines }
 
--- a/src/test/kotlin/cleathitch/core/World.kt
+++ b/src/test/kotlin/cleathitch/core/World.kt
@@ -260,14 +260,15 @@
             if (engine != null || openBatch != null) return
             // It may as well take a deposed leader for the present one.
             val leader = nodes.filter { it.engine != null }.randomOrNull(random) ?: return forwarding.refuseAll()
-            val batch = forwarding.nextBatch(leader.term, steadyMs()) ?: return
+            val batch = forwarding.nextBatch(leader.term, steadyMs())
+            if (batch.isEmpty) return
             openBatch = batch
             after(maxOf(1, forwarding.timeLeftMs(batch, steadyMs()))) { close(batch) { forwarding.unanswered(batch) } }
             val mine = life
             send {
                 leader.decide(batch) { decisions ->
                     send {
-                        if (life == mine) close(batch) { forwarding.decided(batch, decisions, this@World.leader?.term ?: 0, steadyMs()) }
+                        if (life == mine) close(batch) { forwarding.decided(batch, decisions, this@World.leader?.term, steadyMs()) }
                     }
                 }
             }
@@ -285,7 +286,7 @@
             if (engine == null || term != batch.term) return
             val request = RequestId(++requests)
             batchAnswers[request] = { answer(it.decisions) }
-            take(Command.ReportsForwarded(request, batch.reports))
+            take(Command.FollowerBatch(request, batch.reports))
         }
 
         private var inFlight: Commit? = null
@@ -341,7 +342,7 @@
                 is Effect.Answer -> answers.remove(effect.request)?.invoke(effect.reply)
                 is Effect.AnswerReport -> reportAnswers.remove(effect.request)?.invoke(effect)
                 is Effect.RefuseReport -> reportAnswers.remove(effect.request)
-                is Effect.AnswerForwarded -> batchAnswers.remove(effect.request)?.invoke(effect)
+                is Effect.AnswerFollower -> batchAnswers.remove(effect.request)?.invoke(effect)
                 is Effect.Write -> commit(effect.commit)
                 is Effect.Push -> direct(effect.machine) { it.direct(effect) }
                 is Effect.Inspect -> direct(effect.machine) { it.inspected() }
@@ -364,7 +365,7 @@
     private var requests = 0L
     private val answers = HashMap<RequestId, (UserReply) -> Unit>()
     private val reportAnswers = HashMap<RequestId, (Effect.AnswerReport) -> Unit>()
-    private val batchAnswers = HashMap<RequestId, (Effect.AnswerForwarded) -> Unit>()
+    private val batchAnswers = HashMap<RequestId, (Effect.AnswerFollower) -> Unit>()
     val leader: Node? get() = nodes.filter { it.engine != null }.maxByOrNull { if (it === leaderNode) 1 else 0 }
 
     // ---- machines
--- a/src/test/kotlin/cleathitch/workers/ReportQueueTest.kt
+++ b/src/test/kotlin/cleathitch/workers/ReportQueueTest.kt
@@ -10,11 +10,11 @@
 import cleathitch.core.ReportedTask
 import cleathitch.core.TaskId
 import cleathitch.core.TaskState
+import cleathitch.peers.OutgoingBatch
 import cleathitch.peers.PeerClient
 import cleathitch.peers.PeerCodec
 import cleathitch.peers.PeerRequest
 import org.junit.jupiter.api.Assertions.assertEquals
-import org.junit.jupiter.api.Assertions.assertNull
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 
@@ -30,7 +30,9 @@
     )
 
     private fun add(report: Report, atMs: Long = 0) = queue.add(report, atMs) { outcomes += it }
-    private fun batch(atMs: Long = 0, term: Long = 9) = queue.nextBatch(term, atMs)!!
+    private fun batch(atMs: Long = 0, term: Long = 9) = queue.nextBatch(term, atMs)
+
+    private fun message(batch: ReportQueue.Batch) = PeerRequest.Batch.of("n1", OutgoingBatch(batch, emptyList(), emptyList()))
 
     /** The leader of term 9 has acknowledged this report. */
     private fun acknowledged(report: Report) {
@@ -121,7 +123,7 @@
         add(report(seq = 2))
         assertEquals(listOf<ForwardOutcome>(ForwardOutcome.Unanswered), outcomes)
         assertEquals(ForwardedReport.Whole(report(seq = 2)), batch().reports.single())
-        assertNull(queue.nextBatch(9, 0))
+        assertTrue(queue.nextBatch(9, 0).isEmpty)
     }
 
     @Test
@@ -140,9 +142,10 @@
         add(report(machine = machines, tasks = 900))
         val seen = HashSet<MachineId>()
         while (true) {
-            val batch = queue.nextBatch(9, 0) ?: break
+            val batch = queue.nextBatch(9, 0)
+            if (batch.isEmpty) break
             seen += batch.reports.map { it.machine }
-            assertTrue(PeerCodec.encode(PeerRequest.Reports.of("n1", 9, batch.reports)).size <= PeerClient.MOST_BODY)
+            assertTrue(PeerCodec.encode(message(batch)).size <= PeerClient.MOST_BODY)
             queue.decided(batch, batch.reports.map { answer }, currentTerm = 9, nowMs = 0)
         }
         assertEquals(machines + 1, seen.size)
@@ -155,7 +158,7 @@
         queue.add(report(machine = 1, seq = 2), 0) { perMachine[1] = it }
         queue.add(report(machine = 2, seq = 1), 0) { perMachine[2] = it }
         val batch = batch()
-        val received = PeerCodec.decodeRequest(PeerCodec.encode(PeerRequest.Reports.of("n1", 9, batch.reports))) as PeerRequest.Reports
+        val received = PeerCodec.decodeRequest(PeerCodec.encode(message(batch))) as PeerRequest.Batch
         val decisions = received.toReports().map { if (it.machine == report(machine = 1).machine) ReportDecision.Refuse else answer }
         queue.decided(batch, decisions, currentTerm = 9, nowMs = 0)
         assertEquals(ForwardOutcome.Unanswered, perMachine[1])
