--- a/src/main/kotlin/cleathitch/Node.kt
+++ b/src/main/kotlin/cleathitch/Node.kt
@@ -1,7 +1,7 @@
 package cleathitch
 
 import cleathitch.config.Settings
-import cleathitch.core.Command
+import cleathitch.core.Effect
 import cleathitch.core.HeldImages
 import cleathitch.core.JobId
 import cleathitch.core.MachineId
@@ -11,8 +11,8 @@
 import cleathitch.core.UserReply
 import cleathitch.peers.BatchResult
 import cleathitch.peers.DecisionMessage
-import cleathitch.peers.Carriers
 import cleathitch.peers.CommandDelivery
+import cleathitch.peers.CommandRoutes
 import cleathitch.peers.DirectMessage
 import cleathitch.peers.DirectResult
 import cleathitch.peers.KnownLeader
@@ -125,7 +125,7 @@
         val term = lease.term
         log.info("term {}: elected", term.revision)
         val store = Store(state, PREFIX, LEADER_KEY, term, services.workTimes)
-        val mine = LeaderTerm(lease, services, store, types, HashMap(imagesTold), { newDelivery(term, it) }, ::tellImages) {
+        val mine = LeaderTerm(lease, services, store, types, HashMap(imagesTold), { CommandDelivery(Routes(term), openMs = reportMs, clocks::steadyMs, it) }, ::tellImages) {
             depose(term, it.reason, it.handOver)
         }
         leading = mine
@@ -134,14 +134,16 @@
         leadingJob = scope.launch { mine.run { leaderFound.complete(Unit) } }
     }
 
-    private fun newDelivery(term: Term, post: (Command) -> Unit) = CommandDelivery(
-        settings.member, term.revision, services.workers, peers, carriers, openMs = reportMs, clocks::steadyMs, post,
-    )
+    private inner class Routes(private val term: Term) : CommandRoutes {
+        override fun reachableFollowers() = this@Node.reachableFollowers()
+        override fun followerOf(machine: MachineId) = reportsTo[machine]
+
+        override suspend fun toFollower(follower: String, commands: List<DirectMessage>): Boolean {
+            val address = peerAddresses[follower] ?: return false
+            return peers.ask(address, PeerRequest.Deliver(settings.member, term.revision, commands), leaseMs)?.status == 200
+        }
 
-    private val carriers = object : Carriers {
-        override fun alive() = reachableFollowers()
-        override fun reportsTo(machine: MachineId) = reportsTo[machine]
-        override fun addressOf(follower: String) = peerAddresses[follower]
+        override suspend fun toWorker(command: Effect.ToWorker) = services.workers.send(command)
     }
 
     private fun reachableFollowers(): List<String> {
@@ -365,11 +367,7 @@
     }
 
     private suspend fun deliver(term: Long, command: DirectMessage) {
-        val report = if (command.orders.isEmpty()) {
-            services.workers.inspect(command.machine, command.address)
-        } else {
-            services.workers.push(command.toPush())
-        }
+        val report = services.workers.send(command.toCommand())
         if (report != null) batches.tell(DirectResult(term, command.id, report))
     }
 
--- a/src/main/kotlin/cleathitch/peers/CommandDelivery.kt
+++ b/src/main/kotlin/cleathitch/peers/CommandDelivery.kt
@@ -3,19 +3,23 @@
 import cleathitch.core.Command
 import cleathitch.core.Effect
 import cleathitch.core.MachineId
-import cleathitch.http.Address
-import cleathitch.workers.WorkerClient
+import cleathitch.core.Report
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 
-/** What the delivery of commands needs to know of the other nodes. */
-interface Carriers {
+/** The ways on which commands go to workers. */
+interface CommandRoutes {
     /** Followers that can be reached now. */
-    fun alive(): List<String>
+    fun reachableFollowers(): List<String>
 
     /** The follower to which the machine reports, if it is known. */
-    fun reportsTo(machine: MachineId): String?
-    fun addressOf(follower: String): Address?
+    fun followerOf(machine: MachineId): String?
+
+    /** True if the follower has taken the commands and will deliver them. */
+    suspend fun toFollower(follower: String, commands: List<DirectMessage>): Boolean
+
+    /** The report with which the worker answered; null if it gave no answer. */
+    suspend fun toWorker(command: Effect.ToWorker): Report?
 }
 
 /**
@@ -26,11 +30,7 @@
  * on a slow network. A result counts only while its command is open, so that a late one shows nothing about the machine.
  */
 class CommandDelivery(
-    private val member: String,
-    private val term: Long,
-    private val workers: WorkerClient,
-    private val peers: PeerClient,
-    private val carriers: Carriers,
+    private val routes: CommandRoutes,
     private val openMs: Long,
     private val nowMs: () -> Long,
     private val post: (Command) -> Unit,
@@ -45,8 +45,8 @@
     fun deliver(scope: CoroutineScope, commands: List<Effect.ToWorker>) {
         if (commands.isEmpty()) return
         forgetOld()
-        val alive = carriers.alive()
-        for ((carrier, share) in commands.groupBy { carrierOf(it, alive) }) {
+        val followers = routes.reachableFollowers()
+        for ((carrier, share) in commands.groupBy { carrierOf(it, followers) }) {
             if (carrier == null) {
                 share.forEach { sendDirectly(scope, it) }
             } else {
@@ -65,9 +65,9 @@
     }
 
     /** Null is this node itself. A machine that is only asked may have lost its usual way, so questions take turns. */
-    private fun carrierOf(command: Effect.ToWorker, alive: List<String>): String? = when (command) {
-        is Effect.Push -> carriers.reportsTo(command.machine)?.takeIf { it in alive }
-        is Effect.Inspect -> alive.getOrNull(turn++ % (alive.size + 1))
+    private fun carrierOf(command: Effect.ToWorker, followers: List<String>): String? = when (command) {
+        is Effect.Push -> routes.followerOf(command.machine)?.takeIf { it in followers }
+        is Effect.Inspect -> followers.getOrNull(turn++ % (followers.size + 1))
     }
 
     private suspend fun sendThrough(scope: CoroutineScope, follower: String, commands: List<Effect.ToWorker>) {
@@ -79,19 +79,14 @@
                 is Effect.Inspect -> DirectMessage.of(id, command)
             }
         }
-        val address = carriers.addressOf(follower)
-        val reply = address?.let { peers.ask(it, PeerRequest.Deliver(member, term, messages), openMs / 4) }
-        if (reply?.status == 200) return
+        if (routes.toFollower(follower, messages)) return
         // Whether they were delivered isn't known, but every command may be repeated under its version.
         messages.forEach { open.remove(it.id) }
         commands.forEach { sendDirectly(scope, it) }
     }
 
     private fun sendDirectly(scope: CoroutineScope, command: Effect.ToWorker) = scope.launch {
-        val report = when (command) {
-            is Effect.Push -> workers.push(command)
-            is Effect.Inspect -> workers.inspect(command.machine, command.addr)
-        }
+        val report = routes.toWorker(command)
         post(if (report == null) Command.DirectUnanswered(command.machine) else Command.Inspected(report))
     }
 
--- a/src/main/kotlin/cleathitch/peers/DirectMessages.kt
+++ b/src/main/kotlin/cleathitch/peers/DirectMessages.kt
@@ -23,7 +23,11 @@
     val version: Long,
     val orders: List<OrderMessage>,
 ) {
-    fun toPush() = Effect.Push(machine, address, session, OrderVersion(version), orders.map { it.toOrder() })
+    fun toCommand(): Effect.ToWorker = if (orders.isEmpty()) {
+        Effect.Inspect(machine, address)
+    } else {
+        Effect.Push(machine, address, session, OrderVersion(version), orders.map { it.toOrder() })
+    }
 
     companion object {
         fun of(id: Long, push: Effect.Push) =
--- a/src/main/kotlin/cleathitch/workers/WorkerClient.kt
+++ b/src/main/kotlin/cleathitch/workers/WorkerClient.kt
@@ -24,18 +24,24 @@
     private val caller = Caller(vertx, connections = 2, keepAlive = false)
     private val turns = Semaphore(atOnce)
 
+    /** The machine's report in answer to the command; null if none came. */
+    suspend fun send(command: Effect.ToWorker): Report? = when (command) {
+        is Effect.Push -> push(command)
+        is Effect.Inspect -> inspect(command)
+    }
+
     /** The machine's report after the orders, whether it carried them out or not; null if none came. */
-    suspend fun push(push: Effect.Push): Report? {
+    private suspend fun push(push: Effect.Push): Report? {
         val address = Address.parse(push.addr) ?: return null
         val body = WorkerWire.direct(push.version, push.session, push.orders)
         val answer = turns.withPermit { caller.call(address, HttpMethod.POST, "/do", body, timeoutMs) } ?: return null
         return if (answer.status == 200 || answer.status == 409) report(push.machine, answer) else null
     }
 
-    suspend fun inspect(machine: MachineId, addr: String): Report? {
-        val address = Address.parse(addr) ?: return null
+    private suspend fun inspect(inspect: Effect.Inspect): Report? {
+        val address = Address.parse(inspect.addr) ?: return null
         val answer = turns.withPermit { caller.call(address, HttpMethod.GET, "/inspect", null, probeMs) } ?: return null
-        return if (answer.status == 200) report(machine, answer) else null
+        return if (answer.status == 200) report(inspect.machine, answer) else null
     }
 
     private fun report(machine: MachineId, answer: Answer): Report? = try {
--- /dev/null
+++ b/src/test/kotlin/cleathitch/peers/CommandDeliveryTest.kt
@@ -0,0 +1,114 @@
+package cleathitch.peers
+
+import cleathitch.core.AttemptId
+import cleathitch.core.Command
+import cleathitch.core.Effect
+import cleathitch.core.JobId
+import cleathitch.core.MachineId
+import cleathitch.core.Order
+import cleathitch.core.OrderVersion
+import cleathitch.core.Report
+import cleathitch.core.TaskId
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** How commands reach workers, and which answers count. */
+class CommandDeliveryTest {
+    private val posted = ArrayList<Command>()
+    private var nowMs = 0L
+
+    /** What went to each follower, and to workers directly. */
+    private val throughFollowers = ArrayList<Pair<String, List<DirectMessage>>>()
+    private val direct = ArrayList<MachineId>()
+    private var followersTakeCommands = true
+    private var workersAnswer = true
+
+    private val routes = object : CommandRoutes {
+        override fun reachableFollowers() = listOf("n1", "n2")
+        override fun followerOf(machine: MachineId) = when (machine.text) {
+            "vm-1", "vm-2" -> "n1"
+            "vm-3" -> "n2"
+            "vm-4" -> "unreachable"
+            else -> null
+        }
+
+        override suspend fun toFollower(follower: String, commands: List<DirectMessage>): Boolean {
+            throughFollowers += follower to commands
+            return followersTakeCommands
+        }
+
+        override suspend fun toWorker(command: Effect.ToWorker): Report? {
+            direct += command.machine
+            return if (workersAnswer) report(command.machine) else null
+        }
+    }
+    private val delivery = CommandDelivery(routes, openMs = 6000, { nowMs }, { posted += it })
+
+    private fun report(machine: MachineId) =
+        Report(machine, "10.0.0.1:9000", "m4", "a", false, 1, 7, OrderVersion.first(9), null, emptyList())
+
+    private fun push(machine: Int) = Effect.Push(
+        MachineId("vm-$machine"), "10.0.0.1:9000", 1, OrderVersion.first(9), listOf(Order.Start(AttemptId(TaskId(JobId("j-1"), 0), 1))),
+    )
+
+    private fun deliver(vararg commands: Effect.ToWorker) = runBlocking { delivery.deliver(this, commands.toList()) }
+
+    private fun result(id: Long, machine: Int) = DirectResultMessage(id, ReportMessage.of(report(MachineId("vm-$machine"))))
+
+    @Test
+    fun `commands go through the followers to which the workers report, in one request each`() {
+        deliver(push(1), push(2), push(3))
+        assertEquals(mapOf("n1" to 2, "n2" to 1), throughFollowers.associate { it.first to it.second.size })
+        assertEquals(emptyList<MachineId>(), direct)
+    }
+
+    @Test
+    fun `commands go directly where no reachable follower is known`() {
+        deliver(push(4), push(5))
+        assertEquals(setOf("vm-4", "vm-5"), direct.map { it.text }.toSet())
+        assertEquals(2, posted.count { it is Command.Inspected })
+    }
+
+    @Test
+    fun `commands that a follower doesn't take go directly`() {
+        followersTakeCommands = false
+        deliver(push(1), push(2))
+        assertEquals(listOf("vm-1", "vm-2"), direct.map { it.text })
+    }
+
+    @Test
+    fun `a worker that gives no answer is told as such`() {
+        workersAnswer = false
+        deliver(push(5))
+        assertEquals(listOf<Command>(Command.DirectUnanswered(MachineId("vm-5"))), posted)
+    }
+
+    @Test
+    fun `an answer through a follower counts once, and only from the machine that was asked`() {
+        deliver(push(1), push(3))
+        val (first, second) = throughFollowers.flatMap { it.second }.map { it.id }
+        delivery.answered(listOf(result(first, machine = 1), result(first, machine = 1), result(second, machine = 1)))
+        assertEquals(listOf<Command>(Command.Inspected(report(MachineId("vm-1")))), posted)
+    }
+
+    /** By then the machine may be gone: a batch that was held up on its way shows nothing about it. */
+    @Test
+    fun `an answer that comes late doesn't count`() {
+        deliver(push(1))
+        val id = throughFollowers.single().second.single().id
+        nowMs = 6000
+        delivery.answered(listOf(result(id, machine = 1)))
+        assertEquals(emptyList<Command>(), posted)
+    }
+
+    /** A machine that skips reports may have lost its follower: it is asked on more than one way. */
+    @Test
+    fun `questions take turns between the followers and this node`() {
+        repeat(3) { deliver(Effect.Inspect(MachineId("vm-1"), "10.0.0.1:9000")) }
+        assertEquals(setOf("n1", "n2"), throughFollowers.map { it.first }.toSet())
+        assertEquals(1, direct.size)
+        assertTrue(throughFollowers.all { (_, commands) -> commands.single().toCommand() is Effect.Inspect })
+    }
+}
