--- a/src/main/kotlin/cleathitch/core/Engine.kt
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -29,8 +29,9 @@
     private val aims = deployment.objectives.filterIsInstance<Objective.Finished>().sortedBy { it.withinS }
         .groupBy({ it.className }, { it.withinS })
     private val effects = ArrayList<Effect>()
-    private val leading = object : Leading {
+    private val context = object : TermContext {
         override val now get() = this@Engine.now
+        override val listeningSinceMs get() = this@Engine.listeningSinceMs
         override fun leaseHeld() = this@Engine.leaseHeld()
         override fun stalled() = writeSinceMs?.let { now.steadyMs - it > tuning.stallMs } == true
         override fun append(event: Event) = this@Engine.append(event)
@@ -42,8 +43,14 @@
         }
         override fun notes(level: NoteLevel) = level <= noteLevel
     }
-    private val users = Users(leading, ledger, journal, fleet, quota, deployment.teams, tuning.intakeMs)
+    private val jobRequests = JobRequests(context, ledger, journal, fleet, quota, deployment.teams, tuning.intakeMs)
     private val orders = Orders(ledger, journal)
+    private val cloudOrders = CloudOrders(
+        context, deployment, tuning, fleet, journal, term,
+        isGone = { it in gone },
+        adopt = { id, offer -> adopt(id, offer, now.steadyMs) },
+    )
+    private val health = MachineHealth(context, fleet, ledger, tuning, start.steadyMs, cloudOrders::retire)
 
     /** Machines to which new orders go as soon as a record is committed. */
     private val toPush = HashMap<Seq, MutableSet<MachineId>>()
@@ -55,12 +62,6 @@
      */
     private val toStop = TreeMap<Seq, MutableList<Attempt>>()
     private val stopsDue = LinkedHashSet<MachineId>()
-    private val rentSentAtMs = HashMap<String, Long>()
-    private val returnSentAtMs = HashMap<MachineId, Long>()
-
-    /** The records of this term's rentals and returns, by name: nothing is sent again before its record stands. */
-    private val fleetSeqs = HashMap<String, Seq>()
-    private val requestPrefix = "r-${term.revision}-"
     private val gone = LinkedHashSet<MachineId>()
 
     private var now = start
@@ -86,12 +87,10 @@
     private var trimming = false
     private var lastRoundMs = 0L
     private var lastWatchMs = 0L
-    private var lastReturnMs = 0L
     private var lastFleetMs = 0L
     private var lastTrimMs = start.steadyMs
 
     private val directReachability = DirectReachability(tuning.probeMs)
-    private var rentCount = 0L
     private var fleetListed = false
 
     /** Without it a new leader places blindly, and machines fetch again what their neighbours hold. */
@@ -146,12 +145,12 @@
                 lastWatchMs = now.steadyMs
                 watchMachines()
                 if (leaseHeld()) sendStops()
-                sendFleetOrders()
+                cloudOrders.send()
                 tellImages()
             }
             if (mayPlace()) round()
             resizeFleet()
-            users.expire()
+            jobRequests.expire()
             write()
         }
         return effects.toList()
@@ -169,9 +168,9 @@
 
     private fun take(command: Command) {
         when (command) {
-            is Command.Submit -> users.submit(command)
-            is Command.Poll -> users.poll(command)
-            is Command.Abort -> users.abort(command)
+            is Command.Submit -> jobRequests.submit(command)
+            is Command.Poll -> jobRequests.poll(command)
+            is Command.Abort -> jobRequests.abort(command)
             is Command.Reported -> reported(command)
             is Command.FollowerBatch -> followerBatch(command)
             is Command.Inspected -> inspected(command.report)
@@ -183,7 +182,7 @@
                 command.machines.forEach(::listed)
                 fleetListed = true
             }
-            is Command.RentalAnswered -> rentalAnswered(command)
+            is Command.RentalAnswered -> cloudOrders.rentalAnswered(command)
             is Command.Returned -> command.machines.forEach { confirmGone(it) }
             is Command.ImagesTold -> imagesTold = command.images
             Command.Tick -> Unit
@@ -235,18 +234,18 @@
             toStop.pollFirstEntry().value.sortedBy { it.seen == TaskState.RUNNING }.mapTo(stopsDue) { it.machine }
         }
         sendStops()
-        users.committed()
+        jobRequests.committed()
         val machines = toPush.filterKeys { it <= journal.committed }
         machines.keys.forEach(toPush::remove)
         machines.values.flatMapTo(LinkedHashSet()) { it }.forEach { id -> fleet.machines[id]?.let(::push) }
-        sendFleetOrders()
+        cloudOrders.send()
     }
 
     /** What is left over goes with the next round or the machine's next report, whichever is first. */
     private fun sendStops() {
-        val due = stopsDue.take(MOST_PROBES)
+        val due = stopsDue.take(MachineHealth.MOST_QUESTIONS)
         stopsDue.removeAll(due.toSet())
-        due.forEach { id -> fleet.machines[id]?.let { if (it.lastHeardMs == null) probe(it) else push(it) } }
+        due.forEach { id -> fleet.machines[id]?.let { if (it.lastHeardMs == null) health.probe(it) else push(it) } }
     }
 
     // ---- what the term allows
@@ -267,7 +266,7 @@
 
     private fun followerBatch(command: Command.FollowerBatch) {
         val decisions = command.reports.map(::decideForwarded)
-        val statuses = command.polls.map { if (stepped) UserReply.NotNow("not the leader any more") else users.statusNow(it) }
+        val statuses = command.polls.map { if (stepped) UserReply.NotNow("not the leader any more") else jobRequests.statusNow(it) }
         effects += Effect.AnswerFollower(command.request, decisions, statuses)
     }
 
@@ -378,7 +377,7 @@
             if (attempt.id in shown) continue
             attempt.seen = null
             // Left to a machine that our answers don't reach, a task would wait there for as long as the way is cut.
-            if ((attempt.stop != null || !attended(machine)) && orders.surelyGone(attempt, machine)) over(attempt)
+            if ((attempt.stop != null || !health.attended(machine)) && orders.surelyGone(attempt, machine)) over(attempt)
         }
         orders.shown(machine.id, shown)
         if (ledger.attemptsOn(machine.id).isNotEmpty()) machine.idleSinceMs = now.steadyMs
@@ -483,27 +482,14 @@
         for (id in ledger.machinesInUse.toList()) {
             if (id !in fleet.machines && now.steadyMs >= inheritedLeaseEndMs) ledger.attemptsOn(id).toList().forEach(::over)
         }
-        if (leaseHeld() && now.steadyMs - startedMs < tuning.takeOverMs) askUnheard()
+        if (leaseHeld() && now.steadyMs - startedMs < tuning.takeOverMs) health.askUnheard()
         if (!settled()) return
-        fleet.machines.values.forEach(::missIfRunning)
+        fleet.machines.values.forEach(health::missIfRunning)
         handOverIfCutOff()
         if (stepped) return
-        findSilent()
-        findDeaf()
-        fleet.neverUp(now.steadyMs, listeningSinceMs).forEach { retire(it.id, "it never came up") }
-    }
-
-    /** After a take-over machines come by themselves only with their next reports; those that the cloud lists are asked. */
-    private fun askUnheard() {
-        fleet.machines.values.asSequence()
-            .filter { it.lastHeardMs == null && it.listedRunning && now.steadyMs - it.probedMs >= tuning.probeGapMs }
-            .take(MOST_PROBES).forEach(::probe)
-    }
-
-    private fun probe(machine: Machine) {
-        machine.probes++
-        machine.probedMs = now.steadyMs
-        machine.addr?.let { effects += Effect.Inspect(machine.id, it) }
+        health.findSilent()
+        health.findDeaf()
+        fleet.neverUp(now.steadyMs, listeningSinceMs).forEach { cloudOrders.retire(it.id, "it never came up") }
     }
 
     /**
@@ -514,64 +500,11 @@
         if (directReachability.isCut(now.steadyMs)) stepDown("direct commands don't reach machines that report to others", handOver = true)
     }
 
-    /**
-     * A machine that skips a report is asked directly; one that doesn't answer that either is returned,
-     * since the cloud's word that it is gone frees its tasks long before its lease ends. But where most
-     * are quiet the way to them is cut, and they work on: returning them would end what still runs.
-     */
-    private fun findSilent() {
-        val up = fleet.machines.values.filter { it.state == MachineState.UP }
-        val silence = Silence(up) { quietMs(it) >= tuning.probeMs }
-        fleet.cutZones = silence.cutZones
-        val silent = silence.quiet.filter { it.probes >= PROBES || it.addr == null }.filter { quietMs(it) >= tuning.silentMs }
-        silent.forEach { if (!silence.excuses(it)) retire(it.id, "it is silent") }
-        silence.quiet.filter { it.state == MachineState.UP && now.steadyMs - it.probedMs >= tuning.probeGapMs }
-            .take(MOST_PROBES).forEach(::probe)
-        // It answers, but its own reports reach nobody: its lease has run out, and nothing can run there. Most of them
-        // at once are no more to blame than machines that say nothing: a fleet that answered was once returned whole.
-        val mute = Silence(up) { unheardMs(it) >= tuning.silentMs }
-        for (machine in mute.quiet) {
-            if (machine.state != MachineState.UP) continue
-            if (unheardMs(machine) >= if (mute.excuses(machine)) tuning.lostMs * 2 else tuning.lostMs) retire(machine.id, "its reports don't arrive")
-        }
-        if (now.steadyMs - startedMs >= tuning.lostMs) {
-            ledger.machinesInUse.filter { it !in fleet.machines && it !in fleet.retired }
-                .forEach { retire(it, "it hasn't reported since the take-over") }
-        }
-    }
-
-    /** Machines whose reports arrive while our answers don't: their leases run out again and again. */
-    private fun findDeaf() {
-        val missing = fleet.machines.values.filter { it.state == MachineState.UP && it.answersLost > 0 }
-        // Many at once: more likely our answers come too late, and they aren't to blame. Those that missed one
-        // are counted: they call themselves deaf one after the other, and a few at a time all went back.
-        if (missing.size > maxOf(FEW_DEAF, fleet.machines.size / DEAF_SHARE)) return
-        missing.filter { it.deaf }.forEach { retire(it.id, "no answer reaches it") }
-    }
-
-    /** For how long no report of the machine could be answered, whatever it said to direct questions. */
-    private fun unheardMs(machine: Machine) = now.steadyMs - maxOf(machine.lastReportMs ?: machine.missedSinceMs, listeningSinceMs)
-
-    /**
-     * Whether reports and answers pass between the machine and us, as far as is known. Where they don't, leases run out
-     * though direct orders arrive, and what is started there dies with the next.
-     */
-    private fun attended(machine: Machine) = !machine.deaf && unheardMs(machine) < tuning.silentMs
-
-    private fun quietMs(machine: Machine) = now.steadyMs - maxOf(machine.lastHeardMs ?: machine.missedSinceMs, listeningSinceMs)
-
-    private fun retire(id: MachineId, reason: String) {
-        // What isn't settled yet has to fit into one value.
-        if (fleet.retired.size >= deployment.stateValueBytes / RETIRED_BYTES) return
-        fleetSeqs[id.text] = append(Event.MachineRetired(id))
-        note(NoteLevel.INFO) { "machine $id is returned: $reason" }
-    }
-
     private fun confirmGone(id: MachineId) {
         if (id !in fleet.retired) return
         ledger.attemptsOn(id).toList().forEach(::over)
         append(Event.MachineGone(id))
-        fleetSeqs.remove(id.text)
+        cloudOrders.returned(id)
         gone += id
         if (gone.size > GONE_KEPT) gone.remove(gone.first())
     }
@@ -589,71 +522,12 @@
         )
         machine.listedRunning = listed.state == ListedState.RUNNING
         if (machine.addr == null) machine.addr = listed.addr
-        missIfRunning(machine)
+        health.missIfRunning(machine)
         if (listed.state == ListedState.FAILED && machine.state != MachineState.RETIRED && settled()) {
-            retire(machine.id, "it has failed")
-        }
-    }
-
-    /**
-     * A machine that runs by the cloud's word is missed like any other, though it never reported in this term: at
-     * once if tasks may run there, else when all have had time. This is looked at not only when it is listed: one that
-     * is taken before its first report isn't listed again, and would count as on its way for ever.
-     */
-    private fun missIfRunning(machine: Machine) {
-        if (machine.state != MachineState.STARTING || !machine.listedRunning) return
-        if (ledger.attemptsOn(machine.id).isEmpty() && now.steadyMs - startedMs < tuning.lostMs) return
-        machine.missedSinceMs = now.steadyMs
-        machine.state = MachineState.UP
-    }
-
-    private fun rentalAnswered(command: Command.RentalAnswered) {
-        rentSentAtMs.remove(command.request)
-        fleetSeqs.remove(command.request)
-        val asked = fleet.rentals[command.request] ?: return
-        when (val answer = command.answer) {
-            is RentalAnswer.Rented -> {
-                answer.machines.filter { it !in gone }.forEach { adopt(it, asked.offer, now.steadyMs).confirmed = true }
-                if (answer.machines.size < asked.count) fleet.refused(asked.offer, now.steadyMs)
-                append(Event.RentalSettled(command.request))
-                note(NoteLevel.INFO) { "rental ${command.request}: ${answer.machines.size} of ${asked.count} ${asked.offer}" }
-            }
-            RentalAnswer.NoCapacity, RentalAnswer.Rejected -> {
-                fleet.refused(asked.offer, now.steadyMs)
-                append(Event.RentalSettled(command.request))
-                note(NoteLevel.INFO) { "rental ${command.request}: refused ${asked.offer}" }
-            }
-            RentalAnswer.Unknown -> rentSentAtMs[command.request] = now.steadyMs
+            cloudOrders.retire(machine.id, "it has failed")
         }
     }
 
-    /** Rentals and returns whose answer is lost are sent again under the same names. */
-    private fun sendFleetOrders() {
-        val againMs = (deployment.reportS * 1000).toLong()
-        for (asked in fleet.rentals.values) {
-            val sent = rentSentAtMs[asked.request]
-            if (recorded(asked.request) && (sent == null || now.steadyMs - sent >= againMs)) {
-                rentSentAtMs[asked.request] = now.steadyMs
-                effects += Effect.Rent(asked)
-            }
-        }
-        // Returns go many to a call; the gap gathers them.
-        if (fleet.retired.isNotEmpty() && now.steadyMs - lastReturnMs >= tuning.returnGapMs) {
-            val due = fleet.retired.filter { id ->
-                val sent = returnSentAtMs[id]
-                recorded(id.text) && (sent == null || now.steadyMs - sent >= againMs)
-            }.take(RETURNS_PER_CALL)
-            if (due.isNotEmpty()) {
-                lastReturnMs = now.steadyMs
-                due.forEach { returnSentAtMs[it] = now.steadyMs }
-                effects += Effect.Return(due)
-            }
-        }
-        if (returnSentAtMs.size > fleet.retired.size) returnSentAtMs.keys.retainAll(fleet.retired)
-    }
-
-    private fun recorded(name: String) = (fleetSeqs[name] ?: Seq.NONE) <= journal.committed
-
     // ---- decisions
 
     /**
@@ -686,7 +560,7 @@
     }
 
     private fun usable(machine: Machine) = machine.state == MachineState.UP && machine.noticeAtMs == null &&
-        machine.fullUntilMs <= now.steadyMs && machine.confirmed && attended(machine) && quietMs(machine) < tuning.probeMs
+        machine.fullUntilMs <= now.steadyMs && machine.confirmed && health.attended(machine) && health.quietMs(machine) < tuning.probeMs
 
     private fun place(
         job: Job,
@@ -757,13 +631,11 @@
         val room = (deployment.cloudRps / 2).toInt().coerceAtLeast(1) - fleet.rentals.size
         if (room > 0) {
             for ((offer, count) in fleet.wanted(demands, now.steadyMs, room)) {
-                val asked = Event.RentalAsked("$requestPrefix${rentCount++}", offer, count)
-                fleetSeqs[asked.request] = append(asked)
-                note(NoteLevel.INFO) { "rental ${asked.request}: asking for $count $offer" }
+                cloudOrders.rent(offer, count)
             }
         }
         if (!settled()) return
-        fleet.idle(now.steadyMs, listeningSinceMs).forEach { retire(it.id, "it is idle") }
+        fleet.idle(now.steadyMs, listeningSinceMs).forEach { cloudOrders.retire(it.id, "it is idle") }
     }
 
     private fun tellImages() {
@@ -792,20 +664,6 @@
         /** A trim that could make fewer changes isn't worth a commit. */
         const val LEAST_TRIM = 4
 
-        /** The page's limit for one call. */
-        const val RETURNS_PER_CALL = 100
-
-        /** Returns that aren't confirmed yet stand in one value with the rentals; a name takes about half as much there. */
-        const val RETIRED_BYTES = 27
-
-        /** Direct questions to a silent machine before it is given up, and how many machines are asked at a time. */
-        const val PROBES = 2
-        const val MOST_PROBES = 50
-
-        /** Up to one machine in so many may be called deaf. */
-        const val DEAF_SHARE = 10
-        const val FEW_DEAF = 2
-
         /** Rounds wait while more records than these wait to be written. */
         const val MOST_BACKLOG = 2
 
--- a/src/main/kotlin/cleathitch/core/Users.kt
+++ b/src/main/kotlin/cleathitch/core/JobRequests.kt
@@ -1,27 +1,8 @@
 package cleathitch.core
 
-/** What a part of the engine needs of the whole. */
-internal interface Leading {
-    val now: Moment
-    fun leaseHeld(): Boolean
-
-    /** The state service leaves a commit without an answer for long. */
-    fun stalled(): Boolean
-    fun append(event: Event): Seq
-
-    /** The stops of these attempts go out as soon as the record is committed. */
-    fun stopAfter(seq: Seq, attempts: Collection<Attempt>)
-    fun emit(effect: Effect)
-    fun notes(level: NoteLevel): Boolean
-}
-
-internal inline fun Leading.note(level: NoteLevel, text: () -> String) {
-    if (notes(level)) emit(Effect.Note(level, text()))
-}
-
-/** What users ask and are told. Nothing is told before the record behind it is committed. */
-internal class Users(
-    private val leading: Leading,
+/** Handles what users ask: submissions, polls and cancellations. Nothing is told before the record behind it is committed. */
+internal class JobRequests(
+    private val context: TermContext,
     private val ledger: Ledger,
     private val journal: Journal,
     private val fleet: Fleet,
@@ -38,36 +19,36 @@
         val (open, rest) = gates.partition { it.seq <= journal.committed }
         gates.clear()
         gates += rest
-        open.forEach { leading.emit(it.answer) }
+        open.forEach { context.emit(it.answer) }
     }
 
     private fun gate(seq: Seq, answer: Effect.Answer) {
-        if (seq <= journal.committed) leading.emit(answer) else gates += Gate(seq, answer, leading.now.steadyMs + intakeMs)
+        if (seq <= journal.committed) context.emit(answer) else gates += Gate(seq, answer, context.now.steadyMs + intakeMs)
     }
 
     fun expire() {
-        val late = gates.filter { it.giveUpMs <= leading.now.steadyMs }
+        val late = gates.filter { it.giveUpMs <= context.now.steadyMs }
         if (late.isEmpty()) return
         gates.removeAll(late.toSet())
         late.forEach { answer(it.answer.request, UserReply.NotNow("the state service is slow")) }
     }
 
     private fun answer(request: RequestId, reply: UserReply) {
-        leading.emit(Effect.Answer(request, reply))
+        context.emit(Effect.Answer(request, reply))
     }
 
     fun submit(command: Command.Submit) {
         val (request, spec) = command
-        if (!leading.leaseHeld()) return answer(request, UserReply.NotNow("no lease"))
+        if (!context.leaseHeld()) return answer(request, UserReply.NotNow("no lease"))
         ledger.finalState(spec.id)?.let { return answer(request, UserReply.Accepted(spec.id, shown(it), known = true)) }
         ledger.job(spec.id)?.let { job ->
             return gate(job.acceptedSeq, Effect.Answer(request, UserReply.Accepted(job.id, shownState(job), known = true)))
         }
         if (fleet.types.isEmpty()) return answer(request, UserReply.NotNow("machine types aren't known yet"))
         neverRuns(spec)?.let { return answer(request, UserReply.NeverRuns(it)) }
-        if (leading.stalled()) return answer(request, UserReply.NotNow("the state service doesn't answer"))
-        val seq = leading.append(Event.JobAccepted(spec, leading.now.wallMs))
-        leading.note(NoteLevel.DEBUG) { "job ${spec.id} class ${spec.className} team ${spec.team}: ${spec.tasks} tasks taken in" }
+        if (context.stalled()) return answer(request, UserReply.NotNow("the state service doesn't answer"))
+        val seq = context.append(Event.JobAccepted(spec, context.now.wallMs))
+        context.note(NoteLevel.DEBUG) { "job ${spec.id} class ${spec.className} team ${spec.team}: ${spec.tasks} tasks taken in" }
         gate(seq, Effect.Answer(request, UserReply.Accepted(spec.id, ShownState.QUEUED, known = false)))
     }
 
@@ -84,14 +65,14 @@
 
     fun poll(command: Command.Poll) {
         val (request, id) = command
-        if (!leading.leaseHeld()) return answer(request, UserReply.NotNow("no lease"))
+        if (!context.leaseHeld()) return answer(request, UserReply.NotNow("no lease"))
         val acceptedSeq = ledger.job(id)?.acceptedSeq ?: Seq.NONE
         gate(acceptedSeq, Effect.Answer(request, status(id)))
     }
 
     /** The job's status if it can be told at once; a poll of many that share an answer must not wait for a commit. */
     fun statusNow(id: JobId): UserReply {
-        if (!leading.leaseHeld()) return UserReply.NotNow("no lease")
+        if (!context.leaseHeld()) return UserReply.NotNow("no lease")
         val acceptedSeq = ledger.job(id)?.acceptedSeq ?: Seq.NONE
         return if (acceptedSeq <= journal.committed) status(id) else UserReply.NotNow("the job isn't recorded yet")
     }
@@ -105,15 +86,15 @@
 
     fun abort(command: Command.Abort) {
         val (request, id) = command
-        if (!leading.leaseHeld()) return answer(request, UserReply.NotNow("no lease"))
+        if (!context.leaseHeld()) return answer(request, UserReply.NotNow("no lease"))
         ledger.finalState(id)?.let { return answer(request, UserReply.Aborted(id, shown(it))) }
         val job = ledger.job(id) ?: return answer(request, UserReply.NotFound)
         if (!job.over) {
-            if (leading.stalled()) return answer(request, UserReply.NotNow("the state service doesn't answer"))
-            val seq = leading.append(Event.JobCancelled(id))
+            if (context.stalled()) return answer(request, UserReply.NotNow("the state service doesn't answer"))
+            val seq = context.append(Event.JobCancelled(id))
             job.stopIfOver()
-            leading.stopAfter(seq, job.live.values)
-            leading.note(NoteLevel.DEBUG) { "job $id cancelled" }
+            context.stopAfter(seq, job.live.values)
+            context.note(NoteLevel.DEBUG) { "job $id cancelled" }
         }
         val state = if (job.cancelled) ShownState.CANCELLED else ShownState.DONE
         gate(job.cancelledSeq ?: job.finishedSeq!!, Effect.Answer(request, UserReply.Aborted(id, state)))
