--- a/src/main/kotlin/cleathitch/App.kt
+++ b/src/main/kotlin/cleathitch/App.kt
@@ -19,13 +19,13 @@
 import io.vertx.core.Vertx
 import io.vertx.core.VertxOptions
 import io.vertx.kotlin.coroutines.dispatcher
-import java.util.UUID
-import kotlin.math.ceil
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.launch
 import kotlinx.serialization.SerializationException
 import org.slf4j.LoggerFactory
+import java.util.UUID
+import kotlin.math.ceil
 
 /** Puts a node together and runs it until the process is killed. */
 class App(private val settings: Settings, private val operator: OperatorSettings = OperatorSettings.DEFAULT) {
@@ -64,8 +64,12 @@
         )
         val stateMs = tuning.leaderLeaseMs / 3
         val leadership = Leadership(
-            StateClient(leaseLoop, settings.state, stateMs), settings.member, UUID.randomUUID().toString(), tuning.leaderLeaseMs,
-            Node.LEADER_KEY, clocks::steadyMs,
+            StateClient(leaseLoop, settings.state, stateMs),
+            settings.member,
+            UUID.randomUUID().toString(),
+            tuning.leaderLeaseMs,
+            Node.LEADER_KEY,
+            clocks::steadyMs,
         )
         val leaseScope = CoroutineScope(leaseLoop.dispatcher() + SupervisorJob())
         val node = Node(settings, services, StateClient(vertx, settings.state, stateMs), leadership, leaseScope, PeerClient(vertx), scope)
@@ -74,7 +78,9 @@
         val internalRoom = Connections(peerSockets + OTHER_SOCKETS)
         val room = Connections(maxOf(settings.maxSockets / 2, settings.maxSockets - ours - internalRoom.most))
         scope.launch {
-            Front(vertx, scope, PeerClient.MOST_BODY, idleS, internalRoom) { method, path, body -> internal(node, method, path, body) }.listen(settings.internalAddr)
+            Front(vertx, scope, PeerClient.MOST_BODY, idleS, internalRoom) { method, path, body ->
+                internal(node, method, path, body)
+            }.listen(settings.internalAddr)
             node.start()
             Front(vertx, scope, Wire.MAX_BODY, idleS, room, node::front).listen(settings.bind)
             log.info("node {} listens on {} and {}", settings.member, settings.bind, settings.internalAddr)
--- a/src/main/kotlin/cleathitch/LeaderTerm.kt
+++ b/src/main/kotlin/cleathitch/LeaderTerm.kt
@@ -25,7 +25,6 @@
 import cleathitch.state.StoredCodec
 import cleathitch.workers.WorkerClient
 import io.micrometer.core.instrument.MeterRegistry
-import java.util.concurrent.TimeUnit
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
@@ -34,6 +33,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.yield
 import org.slf4j.LoggerFactory
+import java.util.concurrent.TimeUnit
 
 /** The clocks of this node. */
 class Clocks {
@@ -136,8 +136,7 @@
     }
 
     /** At the pace of the last batch; the honest answer to when there will be room again. */
-    private fun secondsToServeQueue(): Int =
-        (queue.requests * lastBatchMsPerCommand / 1000).toInt().coerceIn(1, MOST_RETRY_AFTER_S)
+    private fun secondsToServeQueue(): Int = (queue.requests * lastBatchMsPerCommand / 1000).toInt().coerceIn(1, MOST_RETRY_AFTER_S)
 
     private fun <T> endOld(open: LinkedHashMap<RequestId, Asked<T>>) {
         val oldestMs = services.clocks.steadyMs() - ANSWER_MS
@@ -167,7 +166,12 @@
         val begun = services.clocks.steadyMs()
         val snapshot = store.load()
         val engine = Engine(
-            services.deployment, services.tuning, term, snapshot, services.clocks.moment(), StoredCodec,
+            services.deployment,
+            services.tuning,
+            term,
+            snapshot,
+            services.clocks.moment(),
+            StoredCodec,
             noteLevel = when {
                 log.isDebugEnabled -> NoteLevel.DEBUG
                 log.isInfoEnabled -> NoteLevel.INFO
@@ -180,7 +184,10 @@
         replayed()
         log.info(
             "term {}: leading after {} ms of replay; {} jobs open, {} records",
-            term.revision, services.clocks.steadyMs() - begun, engine.openJobs, snapshot.records.size,
+            term.revision,
+            services.clocks.steadyMs() - begun,
+            engine.openJobs,
+            snapshot.records.size,
         )
         launch { tick() }
         launch { watchTypes() }
@@ -220,7 +227,13 @@
             is Effect.AnswerFollower -> batches[effect.request]?.answer?.complete(checked(effect))
             is Effect.Write -> launch {
                 val revision = store.commit(effect.commit)
-                if (revision == null) stepDown(Effect.StepDown("a transaction was refused")) else post(Command.Committed(effect.commit.seq, revision))
+                if (revision ==
+                    null
+                ) {
+                    stepDown(Effect.StepDown("a transaction was refused"))
+                } else {
+                    post(Command.Committed(effect.commit.seq, revision))
+                }
             }
             // Sent together with the others of its batch.
             is Effect.ToWorker -> Unit
@@ -242,12 +255,11 @@
     }
 
     /** As for single answers to users: nothing leaves after a standstill that outlasted the lease. */
-    private fun checked(answer: Effect.AnswerFollower): Effect.AnswerFollower =
-        if (services.clocks.steadyMs() < lease.heldUntilMs) {
-            answer
-        } else {
-            answer.copy(statuses = answer.statuses.map { UserReply.NotNow("no lease") })
-        }
+    private fun checked(answer: Effect.AnswerFollower): Effect.AnswerFollower = if (services.clocks.steadyMs() < lease.heldUntilMs) {
+        answer
+    } else {
+        answer.copy(statuses = answer.statuses.map { UserReply.NotNow("no lease") })
+    }
 
     private suspend fun tick() {
         while (true) {
--- a/src/main/kotlin/cleathitch/Node.kt
+++ b/src/main/kotlin/cleathitch/Node.kt
@@ -10,26 +10,26 @@
 import cleathitch.core.Term
 import cleathitch.core.UserReply
 import cleathitch.peers.BatchResult
-import cleathitch.peers.DecisionMessage
 import cleathitch.peers.CommandDelivery
 import cleathitch.peers.CommandRoutes
+import cleathitch.peers.DecisionMessage
 import cleathitch.peers.DirectMessage
 import cleathitch.peers.DirectResult
 import cleathitch.peers.KnownLeader
 import cleathitch.peers.LeaderBatches
 import cleathitch.peers.OutgoingBatch
-import cleathitch.peers.StatusMessage
 import cleathitch.peers.PeerClient
 import cleathitch.peers.PeerCodec
 import cleathitch.peers.PeerReply
 import cleathitch.peers.PeerRequest
+import cleathitch.peers.StatusMessage
 import cleathitch.protocol.HttpReply
 import cleathitch.protocol.Malformed
 import cleathitch.protocol.UserWire
 import cleathitch.protocol.WorkerWire
 import cleathitch.state.Leadership
-import cleathitch.state.Lease
 import cleathitch.state.LeadershipListener
+import cleathitch.state.Lease
 import cleathitch.state.StateClient
 import cleathitch.state.Store
 import cleathitch.workers.ForwardOutcome
@@ -125,9 +125,12 @@
         val term = lease.term
         log.info("term {}: elected", term.revision)
         val store = Store(state, PREFIX, LEADER_KEY, term, services.workTimes)
-        val mine = LeaderTerm(lease, services, store, types, HashMap(imagesTold), { CommandDelivery(Routes(term), openMs = reportMs, clocks::steadyMs, it) }, ::tellImages) {
-            depose(term, it.reason, it.handOver)
-        }
+        val mine =
+            LeaderTerm(lease, services, store, types, HashMap(imagesTold), {
+                CommandDelivery(Routes(term), openMs = reportMs, clocks::steadyMs, it)
+            }, ::tellImages) {
+                depose(term, it.reason, it.handOver)
+            }
         leading = mine
         leader = settings.member
         leaderTerm = term.revision
@@ -184,11 +187,14 @@
         while (true) {
             val mine = leading
             if (mine != null && mine.ready) {
-                for (peer in settings.peers.filter { needsWord(it.member) }) scope.launch {
-                    val reply = peers.ask(peer.addr, PeerRequest.Leads(settings.member, settings.member, mine.term.revision), leaseMs / 3)
-                        ?: return@launch
-                    peerHeardMs[peer.member] = clocks.steadyMs()
-                    if (reply.term > mine.term.revision) depose(mine.term, "${peer.member} knows term ${reply.term}")
+                for (peer in settings.peers.filter { needsWord(it.member) }) {
+                    scope.launch {
+                        val reply =
+                            peers.ask(peer.addr, PeerRequest.Leads(settings.member, settings.member, mine.term.revision), leaseMs / 3)
+                                ?: return@launch
+                        peerHeardMs[peer.member] = clocks.steadyMs()
+                        if (reply.term > mine.term.revision) depose(mine.term, "${peer.member} knows term ${reply.term}")
+                    }
                 }
             }
             delay(leaseMs / 3)
@@ -303,7 +309,9 @@
     }
 
     private suspend fun reportToUs(mine: LeaderTerm, report: Report): HttpReply {
-        distribution.followerFor(report.machine, reachableFollowers(), clocks.steadyMs())?.let { return HttpReply(421, WorkerWire.elsewhere(it)) }
+        distribution.followerFor(report.machine, reachableFollowers(), clocks.steadyMs())?.let {
+            return HttpReply(421, WorkerWire.elsewhere(it))
+        }
         val answer = mine.report(report)
         return when {
             answer != null -> HttpReply(200, WorkerWire.answer(answer.version, answer.orders))
--- a/src/main/kotlin/cleathitch/cli/Main.kt
+++ b/src/main/kotlin/cleathitch/cli/Main.kt
@@ -4,13 +4,13 @@
 import cleathitch.config.BadSettings
 import cleathitch.config.OperatorSettings
 import cleathitch.config.Settings
-import java.nio.file.Path
-import kotlin.system.exitProcess
 import picocli.CommandLine
 import picocli.CommandLine.Command
 import picocli.CommandLine.IVersionProvider
 import picocli.CommandLine.Mixin
 import picocli.CommandLine.Option
+import java.nio.file.Path
+import kotlin.system.exitProcess
 
 @Command(
     name = "cleathitch",
@@ -39,7 +39,12 @@
     fun operatorSettings() = operator?.let(OperatorSettings::read) ?: OperatorSettings.DEFAULT
 }
 
-@Command(name = "serve", description = ["Runs a controller until it is killed."], mixinStandardHelpOptions = true, versionProvider = Version::class)
+@Command(
+    name = "serve",
+    description = ["Runs a controller until it is killed."],
+    mixinStandardHelpOptions = true,
+    versionProvider = Version::class,
+)
 class Serve : Runnable {
     @Mixin
     lateinit var files: Files
--- a/src/main/kotlin/cleathitch/cli/Rehearsal.kt
+++ b/src/main/kotlin/cleathitch/cli/Rehearsal.kt
@@ -2,24 +2,32 @@
 
 import cleathitch.App
 import cleathitch.config.Settings
+import cleathitch.core.JobId
+import cleathitch.core.MachineId
+import cleathitch.core.OrderVersion
+import cleathitch.core.Report
 import cleathitch.http.Address
 import cleathitch.http.Caller
 import cleathitch.http.Connections
 import cleathitch.http.Front
+import cleathitch.peers.OutgoingBatch
+import cleathitch.peers.PeerClient
+import cleathitch.peers.PeerRequest
 import cleathitch.protocol.HttpReply
 import cleathitch.protocol.Wire
+import cleathitch.workers.ReportQueue
 import com.fasterxml.jackson.databind.node.ObjectNode
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpMethod
 import io.vertx.kotlin.coroutines.dispatcher
-import java.net.ServerSocket
-import java.nio.file.Files
-import kotlin.system.exitProcess
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import picocli.CommandLine.Command
+import java.net.ServerSocket
+import java.nio.file.Files
+import kotlin.system.exitProcess
 
 /**
  * Leads for a moment on loopback, with a platform that says yes to everything, and ends. The build runs
@@ -31,11 +39,14 @@
     private val vertx = Vertx.vertx()
     private val caller = Caller(vertx, connections = 4)
     private var revision = 1L
+    private var leaderTerm = 0L
 
     override fun run() {
         val scope = CoroutineScope(vertx.dispatcher() + SupervisorJob())
         scope.launch {
-            val platform = Front(vertx, scope, Wire.MAX_BODY, idleS = 60, Connections(most = 100)) { method, path, _ -> platform(method, path) }
+            val platform = Front(vertx, scope, Wire.MAX_BODY, idleS = 60, Connections(most = 100)) { method, path, _ ->
+                platform(method, path)
+            }
                 .listen(Address("127.0.0.1", 0))
             val (bind, internal) = List(2) { ServerSocket(0) }.onEach { it.close() }.map { it.localPort }
             val file = Files.createTempFile("cleathitch", ".json")
@@ -43,12 +54,14 @@
             App(Settings.read(file)).start()
             Files.delete(file)
             val node = Address("127.0.0.1", bind)
+            val peers = PeerClient(vertx)
             repeat(ROUNDS) { round ->
                 caller.call(node, HttpMethod.GET, "/ready", null, 1000)
                 caller.call(node, HttpMethod.POST, "/submissions", Wire.encode(submission(round)), 1000)
                 caller.call(node, HttpMethod.GET, "/submissions/j-%06d".format(round), null, 1000)
                 caller.call(node, HttpMethod.POST, "/submissions/j-%06d/abort".format(round / 2), null, 1000)
                 caller.call(node, HttpMethod.POST, "/agent/beat", Wire.encode(beat(round)), 1000)
+                actAsFollower(peers, Address("127.0.0.1", internal), round.toLong())
                 delay(PAUSE_MS)
             }
             caller.call(Address("127.0.0.1", internal), HttpMethod.GET, "/metrics", null, 1000)
@@ -56,6 +69,18 @@
         }
     }
 
+    /** Sends what followers send: the first request learns the term, and so the next one is decided. */
+    private suspend fun actAsFollower(peers: PeerClient, node: Address, seq: Long) {
+        val report = Report(MachineId("vm-000002"), "127.0.0.1:1", "m", "z", true, 1, seq, OrderVersion.NONE, null, emptyList())
+        val queue = ReportQueue(answerWithinMs = 1000)
+        queue.add(report, nowMs = 0) {}
+        val batch = queue.nextBatch(leaderTerm, nowMs = 0)
+        val outgoing = OutgoingBatch(batch, listOf(JobId("j-000001")), emptyList())
+        val reply = peers.ask(node, PeerRequest.Batch.of("n1", outgoing), timeoutMs = 1000) ?: return
+        leaderTerm = reply.term
+        queue.decided(batch, reply.decisions.orEmpty().map { it.toDecision() }, reply.term, nowMs = 0)
+    }
+
     private fun platform(method: String, path: String): HttpReply {
         val map = Wire.newMap().put("asiento", ++revision).put("arriendo", 1).put("truncated", false)
         map.putArray("log")
--- a/src/main/kotlin/cleathitch/config/OperatorSettings.kt
+++ b/src/main/kotlin/cleathitch/config/OperatorSettings.kt
@@ -1,12 +1,12 @@
 package cleathitch.config
 
-import java.io.IOException
-import java.nio.file.Files
-import java.nio.file.Path
 import us.bpsm.edn.EdnException
 import us.bpsm.edn.Keyword
 import us.bpsm.edn.parser.Parser
 import us.bpsm.edn.parser.Parsers
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
 
 /**
  * The operators' own settings, one EDN map; a key left out keeps its default, an unknown one is an error.
--- a/src/main/kotlin/cleathitch/config/Settings.kt
+++ b/src/main/kotlin/cleathitch/config/Settings.kt
@@ -12,8 +12,7 @@
 import java.nio.file.Path
 
 /** Settings that can't be used; the message names file, key and reason. */
-class BadSettings(file: Path, key: String?, reason: String) :
-    Exception(if (key == null) "$file: $reason" else "$file: $key: $reason")
+class BadSettings(file: Path, key: String?, reason: String) : Exception(if (key == null) "$file: $reason" else "$file: $key: $reason")
 
 data class Peer(val member: String, val addr: Address)
 
@@ -75,8 +74,11 @@
                 teams = cluster.sections("teams").associate { team ->
                     val name = team.text("name")
                     name to Team(
-                        name, team.amount("cpus"), team.amount("cpus_max").takeIf { it > 0 },
-                        team.amount("gpus"), team.amount("gpus_max").takeIf { it > 0 },
+                        name,
+                        team.amount("cpus"),
+                        team.amount("cpus_max").takeIf { it > 0 },
+                        team.amount("gpus"),
+                        team.amount("gpus_max").takeIf { it > 0 },
                     )
                 },
                 objectives = cluster.sections("objectives").mapNotNull(::objective),
--- a/src/main/kotlin/cleathitch/core/Commands.kt
+++ b/src/main/kotlin/cleathitch/core/Commands.kt
@@ -10,11 +10,7 @@
     data class Reported(val request: RequestId, val report: Report) : Command
 
     /** Reports of machines and polls of users that came to a follower, each of which waits for its answer. */
-    data class FollowerBatch(
-        val request: RequestId,
-        val reports: List<ForwardedReport>,
-        val polls: List<JobId> = emptyList(),
-    ) : Command
+    data class FollowerBatch(val request: RequestId, val reports: List<ForwardedReport>, val polls: List<JobId> = emptyList()) : Command
 
     /** A report that came as the answer to orders sent directly. */
     data class Inspected(val report: Report) : Command
@@ -52,11 +48,8 @@
     data class RefuseReport(val request: RequestId) : Effect
 
     /** The decisions about a follower's reports and the answers to its polls, each in the order of the batch. */
-    data class AnswerFollower(
-        val request: RequestId,
-        val decisions: List<ReportDecision>,
-        val statuses: List<UserReply> = emptyList(),
-    ) : Effect
+    data class AnswerFollower(val request: RequestId, val decisions: List<ReportDecision>, val statuses: List<UserReply> = emptyList()) :
+        Effect
     data class Write(val commit: Commit) : Effect
 
     /** Something that goes to a worker other than as the answer to its report. */
--- a/src/main/kotlin/cleathitch/core/DirectReachability.kt
+++ b/src/main/kotlin/cleathitch/core/DirectReachability.kt
@@ -31,8 +31,7 @@
     }
 
     /** Whether the leader's own path to the workers seems to be cut. */
-    fun isCut(nowMs: Long): Boolean =
-        witnesses.size >= FEW_WITNESSES && witnesses.values.any { nowMs - it >= patienceMs }
+    fun isCut(nowMs: Long): Boolean = witnesses.size >= FEW_WITNESSES && witnesses.values.any { nowMs - it >= patienceMs }
 
     private companion object {
         /** One or two machines may well lose direct commands by a fault of their own. */
--- a/src/main/kotlin/cleathitch/core/Engine.kt
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -46,7 +46,12 @@
     private val jobRequests = JobRequests(context, ledger, journal, fleet, quota, deployment.teams, tuning.intakeMs)
     private val orders = Orders(ledger, journal)
     private val cloudOrders = CloudOrders(
-        context, deployment, tuning, fleet, journal, term,
+        context,
+        deployment,
+        tuning,
+        fleet,
+        journal,
+        term,
         isGone = { it in gone },
         adopt = { id, offer -> adopt(id, offer, now.steadyMs) },
     )
@@ -436,7 +441,11 @@
 
     /** The attempt is surely gone; its task may start again. */
     private fun over(attempt: Attempt) {
-        orders.outcome(attempt.machine, attempt.id, append(Event.AttemptOver(attempt.id.task.job, attempt.id.task.index, attempt.id.number)))
+        orders.outcome(
+            attempt.machine,
+            attempt.id,
+            append(Event.AttemptOver(attempt.id.task.job, attempt.id.task.index, attempt.id.number)),
+        )
         val machine = fleet.machines[attempt.machine] ?: return
         if (ledger.attemptsOn(machine.id).isEmpty()) machine.idleSinceMs = now.steadyMs
     }
@@ -444,10 +453,12 @@
     private fun ordersFor(machine: Machine) = if (version.countLeft == 0L) emptyList() else orders.of(machine)
 
     private fun noteSent(machine: Machine, orders: List<Order>) {
-        for (order in orders) if (order is Order.Start) {
-            ledger.attempt(order.attempt)?.let {
-                it.sent = version
-                it.sentSession = machine.session
+        for (order in orders) {
+            if (order is Order.Start) {
+                ledger.attempt(order.attempt)?.let {
+                    it.sent = version
+                    it.sentSession = machine.session
+                }
             }
         }
     }
@@ -518,7 +529,9 @@
     private fun listed(listed: ListedMachine) {
         if (listed.machine in gone) return
         val machine = fleet.machines[listed.machine] ?: adopt(
-            listed.machine, listed.offer, now.steadyMs - (listed.ageS * 1000).toLong(),
+            listed.machine,
+            listed.offer,
+            now.steadyMs - (listed.ageS * 1000).toLong(),
         )
         machine.listedRunning = listed.state == ListedState.RUNNING
         if (machine.addr == null) machine.addr = listed.addr
@@ -559,8 +572,12 @@
         looks += look.looks
     }
 
-    private fun usable(machine: Machine) = machine.state == MachineState.UP && machine.noticeAtMs == null &&
-        machine.fullUntilMs <= now.steadyMs && machine.confirmed && health.attended(machine) && health.quietMs(machine) < tuning.probeMs
+    private fun usable(machine: Machine) = machine.state == MachineState.UP &&
+        machine.noticeAtMs == null &&
+        machine.fullUntilMs <= now.steadyMs &&
+        machine.confirmed &&
+        health.attended(machine) &&
+        health.quietMs(machine) < tuning.probeMs
 
     private fun place(
         job: Job,
--- a/src/main/kotlin/cleathitch/core/Events.kt
+++ b/src/main/kotlin/cleathitch/core/Events.kt
@@ -33,12 +33,7 @@
     @Serializable
     @CborArray
     @SerialName("start")
-    data class AttemptStarted(
-        override val job: JobId,
-        val index: Int,
-        val number: Long,
-        val machine: MachineId,
-    ) : OfJob
+    data class AttemptStarted(override val job: JobId, val index: Int, val number: Long, val machine: MachineId) : OfJob
 
     /** The attempt is surely gone from its machine; the task may start elsewhere. */
     @Serializable
@@ -95,11 +90,7 @@
 
 /** Rentals and returns whose fate isn't known yet, after the record [upTo]. */
 @Serializable
-data class FleetCell(
-    val upTo: Long,
-    val rentals: List<Event.RentalAsked>,
-    val retired: List<MachineId>,
-)
+data class FleetCell(val upTo: Long, val rentals: List<Event.RentalAsked>, val retired: List<MachineId>)
 
 /** The final states of jobs that are over, many to a value. */
 @Serializable
--- a/src/main/kotlin/cleathitch/core/Fleet.kt
+++ b/src/main/kotlin/cleathitch/core/Fleet.kt
@@ -18,6 +18,7 @@
     var session = 0L
     var seq = 0L
     var version = OrderVersion.NONE
+
     /** When it was last heard of in any way, and when its last report that we could answer came. */
     var lastHeardMs: Long? = null
     var lastReportMs: Long? = null
@@ -65,6 +66,7 @@
 
     fun forgetImages() = images.clear()
     fun heldImages() = HeldImages(session, LinkedHashMap(images))
+
     /** The report that a [heartbeat] stands for, or null if the last report heard from the machine isn't its base. */
     fun repeatedBy(heartbeat: ForwardedReport.Heartbeat): Report? {
         val address = addr ?: return null
@@ -235,21 +237,23 @@
      */
     fun idle(nowMs: Long, listeningSinceMs: Long): List<Machine> = machines.values.filter { machine ->
         val type = machine.type
-        type != null && machine.state == MachineState.UP && ledger.attemptsOn(machine.id).isEmpty() &&
+        type != null &&
+            machine.state == MachineState.UP &&
+            ledger.attemptsOn(machine.id).isEmpty() &&
             nowMs - machine.rentedAtMs >= MIN_CHARGE_MS &&
             nowMs - max(machine.idleSinceMs, listeningSinceMs) >= type.bootS * 1000 * IDLE_BOOTS
     }
 
     /** Machines that should have come up long ago; one that runs and that a new leader hasn't heard yet is none of them. */
     fun neverUp(nowMs: Long, listeningSinceMs: Long): List<Machine> = machines.values.filter { machine ->
-        machine.state == MachineState.STARTING && !machine.listedRunning &&
+        machine.state == MachineState.STARTING &&
+            !machine.listedRunning &&
             nowMs - max(machine.rentedAtMs, listeningSinceMs) >= (machine.type?.bootS ?: deployment.leaseS) * 1000 * LATE_BOOTS
     }
 
-    fun allows(shape: PlacementClass, offer: Offer) =
-        (shape.types == null || offer.type in shape.types) &&
-            (shape.zone == null || offer.zone == shape.zone) &&
-            (shape.spotAllowed || !offer.spot)
+    fun allows(shape: PlacementClass, offer: Offer) = (shape.types == null || offer.type in shape.types) &&
+        (shape.zone == null || offer.zone == shape.zone) &&
+        (shape.spotAllowed || !offer.spot)
 
     /**
      * The cheapest offer for each processor that the demand uses, its boot time spread over the time for
@@ -258,7 +262,9 @@
     private fun best(demand: Demand, count: Int, nowMs: Long, plan: Plan, spotOnly: Boolean): Offer? {
         val shape = demand.shape
         return types.values.asSequence().filter { it.holds(shape) }
-            .flatMap { type -> type.zones.asSequence().flatMap { zone -> sequenceOf(Offer(type.name, zone, true), Offer(type.name, zone, false)) } }
+            .flatMap { type ->
+                type.zones.asSequence().flatMap { zone -> sequenceOf(Offer(type.name, zone, true), Offer(type.name, zone, false)) }
+            }
             .filter { allows(shape, it) && (it.spot || !spotOnly) && it.zone !in cutZones }
             .filter { nowMs >= (refusedUntilMs[it] ?: 0) && plan.room(it) > 0 }
             .minByOrNull { offer ->
--- a/src/main/kotlin/cleathitch/core/Ledger.kt
+++ b/src/main/kotlin/cleathitch/core/Ledger.kt
@@ -175,8 +175,13 @@
     }
 
     fun cellOf(job: Job, upTo: Seq) = JobCell(
-        upTo.number, job.spec, job.wallMs, job.cancelled, job.done.toByteArray(),
-        job.live.values.map { LiveAttempt(it.id.task.index, it.id.number, it.machine) }, job.lastNumber,
+        upTo.number,
+        job.spec,
+        job.wallMs,
+        job.cancelled,
+        job.done.toByteArray(),
+        job.live.values.map { LiveAttempt(it.id.task.index, it.id.number, it.machine) },
+        job.lastNumber,
     )
 
     private fun addAttempt(attempt: Attempt) {
--- a/src/main/kotlin/cleathitch/core/MachineHealth.kt
+++ b/src/main/kotlin/cleathitch/core/MachineHealth.kt
@@ -35,7 +35,10 @@
         val up = fleet.machines.values.filter { it.state == MachineState.UP }
         val suspicion = PartitionSuspicion(up) { quietMs(it) >= tuning.probeMs }
         fleet.cutZones = suspicion.cutZones
-        val silent = suspicion.quiet.filter { it.probes >= QUESTIONS_BEFORE_LOSS || it.addr == null }.filter { quietMs(it) >= tuning.silentMs }
+        val silent = suspicion.quiet.filter { it.probes >= QUESTIONS_BEFORE_LOSS || it.addr == null }.filter {
+            quietMs(it) >=
+                tuning.silentMs
+        }
         silent.forEach { if (!suspicion.excuses(it)) retire(it.id, "it is silent") }
         suspicion.quiet.filter { it.state == MachineState.UP && context.now.steadyMs - it.probedMs >= tuning.probeGapMs }
             .take(MOST_QUESTIONS).forEach(::probe)
@@ -63,7 +66,8 @@
     }
 
     /** For how long no report of the machine could be answered, whatever it said to direct questions. */
-    private fun unheardMs(machine: Machine) = context.now.steadyMs - maxOf(machine.lastReportMs ?: machine.missedSinceMs, context.listeningSinceMs)
+    private fun unheardMs(machine: Machine) =
+        context.now.steadyMs - maxOf(machine.lastReportMs ?: machine.missedSinceMs, context.listeningSinceMs)
 
     /**
      * Whether reports and answers pass between the machine and us, as far as is known. Where they don't, leases run out
--- a/src/main/kotlin/cleathitch/core/Model.kt
+++ b/src/main/kotlin/cleathitch/core/Model.kt
@@ -81,8 +81,7 @@
     val bootS: Double,
     val zones: List<String>,
 ) {
-    fun holds(shape: PlacementClass) =
-        shape.cpus <= cpus && shape.gpus <= gpus && shape.memoryGb <= memoryGb
+    fun holds(shape: PlacementClass) = shape.cpus <= cpus && shape.gpus <= gpus && shape.memoryGb <= memoryGb
 
     fun priceOf(spot: Boolean) = if (spot) spotPrice else price
 }
@@ -118,12 +117,7 @@
 data class Moment(val steadyMs: Long, val wallMs: Long)
 
 /** A task as a machine's report shows it. */
-data class ReportedTask(
-    val attempt: AttemptId,
-    val state: TaskState,
-    val why: ExitReason? = null,
-    val saved: Boolean = false,
-)
+data class ReportedTask(val attempt: AttemptId, val state: TaskState, val why: ExitReason? = null, val saved: Boolean = false)
 
 enum class TaskState {
     FETCHING,
@@ -173,12 +167,6 @@
 data class HeldImages(val session: Long, val sizesGb: Map<String, Double>)
 
 /** A machine as the cloud lists it. */
-data class ListedMachine(
-    val machine: MachineId,
-    val addr: String,
-    val offer: Offer,
-    val state: ListedState,
-    val ageS: Double,
-)
+data class ListedMachine(val machine: MachineId, val addr: String, val offer: Offer, val state: ListedState, val ageS: Double)
 
 enum class ListedState { STARTING, RUNNING, FAILED }
--- a/src/main/kotlin/cleathitch/core/Orders.kt
+++ b/src/main/kotlin/cleathitch/core/Orders.kt
@@ -58,9 +58,8 @@
         return forgets + stops + starts
     }
 
-    private fun mayStop(attempt: Attempt) =
-        attempt.stop != StopCause.CANCELLED ||
-            (attempt.job.cancelledSeq ?: attempt.job.finishedSeq ?: Seq.NONE) <= journal.committed
+    private fun mayStop(attempt: Attempt) = attempt.stop != StopCause.CANCELLED ||
+        (attempt.job.cancelledSeq ?: attempt.job.finishedSeq ?: Seq.NONE) <= journal.committed
 
     private fun stop(attempt: Attempt, state: TaskState): Order? {
         val spec = attempt.job.spec
--- a/src/main/kotlin/cleathitch/core/Placement.kt
+++ b/src/main/kotlin/cleathitch/core/Placement.kt
@@ -122,7 +122,13 @@
 
         /** What could be stopped for a class, machine by machine, the least loss first. */
         private inner class Sacrifices(private val spec: JobSpec) {
-            private inner class Choice(val machine: Machine, val gone: List<Attempt>, val more: List<Attempt>, val slots: Int, val loss: Double)
+            private inner class Choice(
+                val machine: Machine,
+                val gone: List<Attempt>,
+                val more: List<Attempt>,
+                val slots: Int,
+                val loss: Double,
+            )
 
             private val shape = spec.placementClass
             private val choices = PriorityQueue<Choice>(compareBy { it.loss })
--- a/src/main/kotlin/cleathitch/core/Queue.kt
+++ b/src/main/kotlin/cleathitch/core/Queue.kt
@@ -7,11 +7,7 @@
  * What puts a job off is bounded, so no stream of others keeps it from its turn: shortest-first
  * once left the largest arrays waiting for as long as smaller ones came.
  */
-class Queue(
-    private val aims: Map<String, List<Double>>,
-    private val quota: Quota,
-    private val nowWallMs: Long,
-) {
+class Queue(private val aims: Map<String, List<Double>>, private val quota: Quota, private val nowWallMs: Long) {
     private class Place(val job: Job, val priority: Priority, val borrowing: Boolean, val turnMs: Long)
 
     fun order(waiting: List<Job>): List<Job> {
--- a/src/main/kotlin/cleathitch/peers/Messages.kt
+++ b/src/main/kotlin/cleathitch/peers/Messages.kt
@@ -34,7 +34,14 @@
         data class Holder(val machine: MachineId, val session: Long, val images: List<Int>)
 
         fun held(): Map<MachineId, HeldImages> = machines.associate { holder ->
-            holder.machine to HeldImages(holder.session, holder.images.filter { it in images.indices && it in sizesGb.indices }.associate { images[it] to sizesGb[it] })
+            holder.machine to
+                HeldImages(
+                    holder.session,
+                    holder.images.filter { it in images.indices && it in sizesGb.indices }.associate {
+                        images[it] to
+                            sizesGb[it]
+                    },
+                )
         }
 
         companion object {
@@ -62,8 +69,7 @@
         val polls: List<JobId>,
         val directResults: List<DirectResultMessage>,
     ) : PeerRequest {
-        fun toReports(): List<ForwardedReport> =
-            whole.map { ForwardedReport.Whole(it.toReport()) } + heartbeats.map { it.toHeartbeat() }
+        fun toReports(): List<ForwardedReport> = whole.map { ForwardedReport.Whole(it.toReport()) } + heartbeats.map { it.toHeartbeat() }
 
         companion object {
             /** The batch's reports hold the whole ones first, and so do the leader's decisions. */
--- a/src/main/kotlin/cleathitch/peers/PeerClient.kt
+++ b/src/main/kotlin/cleathitch/peers/PeerClient.kt
@@ -12,8 +12,7 @@
 class PeerClient(vertx: Vertx) {
     private val caller = Caller(vertx, connections = CONNECTIONS, connectMs = 500)
 
-    suspend fun ask(peer: Address, request: PeerRequest, timeoutMs: Long): PeerReply? =
-        ask(peer, PeerCodec.encode(request), timeoutMs)
+    suspend fun ask(peer: Address, request: PeerRequest, timeoutMs: Long): PeerReply? = ask(peer, PeerCodec.encode(request), timeoutMs)
 
     /** Sends an encoded request, so that one that goes to several peers is encoded once. */
     suspend fun ask(peer: Address, encoded: ByteArray, timeoutMs: Long): PeerReply? {
--- a/src/main/kotlin/cleathitch/protocol/WorkerWire.kt
+++ b/src/main/kotlin/cleathitch/protocol/WorkerWire.kt
@@ -70,8 +70,7 @@
     fun direct(version: OrderVersion, session: Long, orders: List<Order>): ByteArray =
         Wire.encode(commands(version, orders).put("jornada", session))
 
-    fun elsewhere(leader: String?): ByteArray =
-        Wire.encode(Wire.newMap().also { if (leader != null) it.put("capataz", leader) })
+    fun elsewhere(leader: String?): ByteArray = Wire.encode(Wire.newMap().also { if (leader != null) it.put("capataz", leader) })
 
     private fun commands(version: OrderVersion, orders: List<Order>): ObjectNode {
         val map = Wire.newMap().put("vara", version.packed)
--- a/src/main/kotlin/cleathitch/state/Leadership.kt
+++ b/src/main/kotlin/cleathitch/state/Leadership.kt
@@ -3,10 +3,10 @@
 import cleathitch.core.Term
 import cleathitch.core.Tuning
 import cleathitch.protocol.Malformed
+import cleathitch.protocol.StateWire
 import cleathitch.protocol.Wire
 import cleathitch.protocol.text
 import cleathitch.protocol.whole
-import cleathitch.protocol.StateWire
 import kotlinx.coroutines.delay
 import org.slf4j.LoggerFactory
 
@@ -87,7 +87,13 @@
                     // Won by a transaction whose answer was lost. What is left of its lease isn't known, and after
                     // a standstill it may be nothing: it counts from a renewal, not from this look.
                     val sent = steadyMs()
-                    if (state.extend(holder.lease) == Renewal.Held) lead(listener, Term(entry.revision), holder.lease, sent) else delay(ttlMs / 8)
+                    if (state.extend(holder.lease) ==
+                        Renewal.Held
+                    ) {
+                        lead(listener, Term(entry.revision), holder.lease, sent)
+                    } else {
+                        delay(ttlMs / 8)
+                    }
                 }
                 holder?.member == member -> {
                     // The process that held it is gone, since we are its successor, or it is a term that we gave up:
--- a/src/main/kotlin/cleathitch/state/StateClient.kt
+++ b/src/main/kotlin/cleathitch/state/StateClient.kt
@@ -5,10 +5,10 @@
 import cleathitch.http.Caller
 import cleathitch.protocol.Malformed
 import cleathitch.protocol.StateWire
-import io.vertx.core.http.HttpMethod
 import io.vertx.core.Vertx
-import java.net.URLEncoder
+import io.vertx.core.http.HttpMethod
 import org.slf4j.LoggerFactory
+import java.net.URLEncoder
 
 sealed interface Txn {
     data class Done(val revision: Long) : Txn
@@ -47,8 +47,12 @@
             when (answer.status) {
                 200 -> Txn.Done(StateWire.revision(answer.body))
                 409 -> Txn.Refused(StateWire.failedKeys(answer.body))
-                400 -> if (StateWire.errorText(answer.body) == "no such lease") Txn.NoLease else Txn.Unavailable.also {
-                    log.error("the state service calls a transaction malformed: {}", StateWire.errorText(answer.body))
+                400 -> if (StateWire.errorText(answer.body) == "no such lease") {
+                    Txn.NoLease
+                } else {
+                    Txn.Unavailable.also {
+                        log.error("the state service calls a transaction malformed: {}", StateWire.errorText(answer.body))
+                    }
                 }
                 else -> Txn.Unavailable
             }
@@ -67,8 +71,7 @@
     }
 
     /** True once the lease is surely over. */
-    suspend fun release(lease: Long): Boolean =
-        call(HttpMethod.DELETE, "/holds/$lease", null, timeoutMs)?.status in setOf(200, 204, 404)
+    suspend fun release(lease: Long): Boolean = call(HttpMethod.DELETE, "/holds/$lease", null, timeoutMs)?.status in setOf(200, 204, 404)
 
     /** Waits for a change; null if nothing can be said, as after an error or when [since] is too old. */
     suspend fun follow(prefix: String, since: Long, waitMs: Long): StateWire.Watched? {
--- a/src/main/kotlin/cleathitch/state/Stored.kt
+++ b/src/main/kotlin/cleathitch/state/StoredCodec.kt
@@ -92,10 +92,12 @@
             when {
                 key == Journal.HEAD -> head = head(entry.value).seq
                 key == Journal.FLEET -> fleet = decode(FleetCell.serializer(), entry.value.text(FIELD))
-                key.startsWith(Journal.RECORD_PREFIX) -> records +=
-                    Seq(number(key, Journal.RECORD_PREFIX)) to decode(Record.serializer(), entry.value.text(FIELD))
-                key.startsWith(Journal.FINALS_PREFIX) -> finals +=
-                    number(key, Journal.FINALS_PREFIX) to decode(FinalsCell.serializer(), entry.value.text(FIELD))
+                key.startsWith(Journal.RECORD_PREFIX) ->
+                    records +=
+                        Seq(number(key, Journal.RECORD_PREFIX)) to decode(Record.serializer(), entry.value.text(FIELD))
+                key.startsWith(Journal.FINALS_PREFIX) ->
+                    finals +=
+                        number(key, Journal.FINALS_PREFIX) to decode(FinalsCell.serializer(), entry.value.text(FIELD))
                 key.startsWith(Journal.JOB_PREFIX) -> jobs.getOrPut(key.substringBeforeLast('/')) { ArrayList() } += entry
             }
         }
--- a/src/main/kotlin/cleathitch/workers/ReportQueue.kt
+++ b/src/main/kotlin/cleathitch/workers/ReportQueue.kt
@@ -2,8 +2,8 @@
 
 import cleathitch.core.ForwardedReport
 import cleathitch.core.MachineId
-import cleathitch.core.OrderVersion
 import cleathitch.core.Order
+import cleathitch.core.OrderVersion
 import cleathitch.core.Report
 import cleathitch.core.ReportDecision
 
@@ -119,12 +119,16 @@
         val base = acknowledged[report.machine]
         if (base == null || !repeats(report, base)) return ForwardedReport.Whole(report)
         return ForwardedReport.Heartbeat(
-            report.machine, report.session, report.seq, report.version, report.noticeS, baseSeq = base.seq,
+            report.machine,
+            report.session,
+            report.seq,
+            report.version,
+            report.noticeS,
+            baseSeq = base.seq,
         )
     }
 
-    private fun repeats(report: Report, base: Report) =
-        report.copy(seq = base.seq, version = base.version, noticeS = base.noticeS) == base
+    private fun repeats(report: Report, base: Report) = report.copy(seq = base.seq, version = base.version, noticeS = base.noticeS) == base
 
     private fun estimatedBytes(forwarded: ForwardedReport): Int = when (forwarded) {
         is ForwardedReport.Heartbeat -> HEARTBEAT_BYTES + forwarded.machine.text.length
--- a/src/test/kotlin/cleathitch/LoopbackTest.kt
+++ b/src/test/kotlin/cleathitch/LoopbackTest.kt
@@ -3,6 +3,11 @@
 import cleathitch.protocol.Wire
 import com.fasterxml.jackson.databind.JsonNode
 import com.fasterxml.jackson.databind.node.ObjectNode
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
 import java.io.IOException
 import java.net.ServerSocket
 import java.net.URI
@@ -13,11 +18,6 @@
 import java.nio.file.Path
 import java.time.Duration
 import kotlin.concurrent.thread
-import org.junit.jupiter.api.AfterEach
-import org.junit.jupiter.api.Assertions.assertEquals
-import org.junit.jupiter.api.Assertions.assertTrue
-import org.junit.jupiter.api.Test
-import org.junit.jupiter.api.io.TempDir
 
 private val client: HttpClient = HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(1)).build()
 
@@ -49,7 +49,10 @@
             val answer = ask(nodes[node].second, "POST", "/agent/beat", report())
             when (answer?.status) {
                 200 -> if (answer.body!!.get("vara").longValue() >= version) obey(answer.body)
-                421 -> node = nodes.indexOfFirst { it.first == answer.body?.get("capataz")?.textValue() }.takeIf { it >= 0 } ?: ((node + 1) % nodes.size)
+                421 ->
+                    node =
+                        nodes.indexOfFirst { it.first == answer.body?.get("capataz")?.textValue() }.takeIf { it >= 0 }
+                            ?: ((node + 1) % nodes.size)
                 else -> node = (node + 1) % nodes.size
             }
             Thread.sleep(200)
@@ -114,8 +117,9 @@
         Files.writeString(file, settings(node))
         val classes = System.getProperty("surefire.test.class.path") ?: System.getProperty("java.class.path")
         val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
-        processes[node] = ProcessBuilder(java, "-Xmx128m", "-XX:+UseSerialGC", "-cp", classes, "cleathitch.cli.MainKt", "serve", "--config", "$file")
-            .redirectErrorStream(true).redirectOutput(dir.resolve("n$node.log").toFile()).start()
+        processes[node] =
+            ProcessBuilder(java, "-Xmx128m", "-XX:+UseSerialGC", "-cp", classes, "cleathitch.cli.MainKt", "serve", "--config", "$file")
+                .redirectErrorStream(true).redirectOutput(dir.resolve("n$node.log").toFile()).start()
     }
 
     private fun <T : Any> until(what: String, poll: () -> T?): T {
@@ -124,12 +128,18 @@
             poll()?.let { return it }
             Thread.sleep(100)
         }
-        throw AssertionError("$what: not within $PATIENCE_MS ms\n" + (0..2).joinToString("\n") { Files.readString(dir.resolve("n$it.log")).takeLast(2000) })
+        throw AssertionError(
+            "$what: not within $PATIENCE_MS ms\n" + (0..2).joinToString("\n") { Files.readString(dir.resolve("n$it.log")).takeLast(2000) },
+        )
     }
 
-    private fun job(id: String): ObjectNode = Wire.newMap().put("nameId", id).put("cuadrilla", "c").put("ownerCrew", "t").put("oficio", "array")
-        .put("urgencia", "normal").put("tareas", 3).put("vcpus", 1.0).put("gpus", 0.0).put("memoryGb", 1.0).put("imagen", "i").put("pullGb", 1.0)
-        .put("oneZone", false).put("scatter", false).put("prestados", false).put("aproxS", 1.0).put("hitoS", 0.0).put("guardadoS", 0.0)
+    private fun job(id: String): ObjectNode =
+        Wire.newMap().put("nameId", id).put("cuadrilla", "c").put("ownerCrew", "t").put("oficio", "array")
+            .put(
+                "urgencia",
+                "normal",
+            ).put("tareas", 3).put("vcpus", 1.0).put("gpus", 0.0).put("memoryGb", 1.0).put("imagen", "i").put("pullGb", 1.0)
+            .put("oneZone", false).put("scatter", false).put("prestados", false).put("aproxS", 1.0).put("hitoS", 0.0).put("guardadoS", 0.0)
 
     private fun submit(node: Int, id: String) = until("submission of $id") {
         ask(ports[node], "POST", "/submissions", job(id))?.takeIf { it.status == 201 || it.status == 200 }
--- a/src/test/kotlin/cleathitch/Platform.kt
+++ b/src/test/kotlin/cleathitch/Platform.kt
@@ -57,7 +57,9 @@
             path == "/keys" -> {
                 val entries = map.put("truncated", false).putArray("entries")
                 keys.tailMap(query["since"] ?: "").filter { (key, _) -> key.startsWith(query.getValue("under")) && key != query["since"] }
-                    .forEach { (key, entry) -> entries.addObject().put("k", key).put("retoque", entry.revision).set<ObjectNode>("data", entry.data) }
+                    .forEach { (key, entry) ->
+                        entries.addObject().put("k", key).put("retoque", entry.revision).set<ObjectNode>("data", entry.data)
+                    }
                 200 to map
             }
             path == "/txn" -> transact(body!!, map)
@@ -98,8 +100,14 @@
 
     private fun transact(body: JsonNode, map: ObjectNode): Pair<Int, JsonNode> {
         val failed = body.get("guards").filter { (keys[it.get("k").textValue()]?.revision ?: 0) != it.get("retoque").longValue() }
-        if (failed.isNotEmpty()) return 409 to map.also { answer -> answer.putArray("failed").also { list -> failed.forEach { list.add(it.get("k")) } } }
-        if (body.get("apply").any { it.has("arriendo") && it.get("arriendo").longValue() !in leases }) return 400 to map.put("error", "no such lease")
+        if (failed.isNotEmpty()) {
+            return 409 to
+                map.also { answer -> answer.putArray("failed").also { list -> failed.forEach { list.add(it.get("k")) } } }
+        }
+        if (body.get("apply").any { it.has("arriendo") && it.get("arriendo").longValue() !in leases }) {
+            return 400 to
+                map.put("error", "no such lease")
+        }
         revision++
         for (change in body.get("apply")) {
             change.get("delete")?.let { keys.remove(it.textValue()) }
--- a/src/test/kotlin/cleathitch/core/EngineTest.kt
+++ b/src/test/kotlin/cleathitch/core/EngineTest.kt
@@ -9,7 +9,12 @@
 class EngineTest {
     private val type = MachineType("m4", 4.0, 0.0, 16.0, 50.0, 1.0, 1.0, 0.4, 5.0, listOf("a", "b"))
     private val engine = Engine(
-        World.standard, Tuning.of(World.standard), Term(7), Snapshot.EMPTY, Moment(0, 0), StoredCodec,
+        World.standard,
+        Tuning.of(World.standard),
+        Term(7),
+        Snapshot.EMPTY,
+        Moment(0, 0),
+        StoredCodec,
     )
     private var nowMs = 0L
     private var revision = 7L
--- a/src/test/kotlin/cleathitch/core/EngineTrace.kt
+++ b/src/test/kotlin/cleathitch/core/EngineTrace.kt
@@ -39,9 +39,13 @@
 
     private fun carryOut(commit: Commit): List<Effect> {
         commits += commit
-        for (change in commit.changes) when (change) {
-            is Change.Put -> cells[change.key] = change
-            is Change.Delete -> cells.remove(if (change.key.startsWith(Journal.JOB_PREFIX)) change.key.substringBeforeLast('/') else change.key)
+        for (change in commit.changes) {
+            when (change) {
+                is Change.Put -> cells[change.key] = change
+                is Change.Delete -> cells.remove(
+                    if (change.key.startsWith(Journal.JOB_PREFIX)) change.key.substringBeforeLast('/') else change.key,
+                )
+            }
         }
         return step(Command.Committed(commit.seq, ++revision))
     }
--- a/src/test/kotlin/cleathitch/core/FairnessTest.kt
+++ b/src/test/kotlin/cleathitch/core/FairnessTest.kt
@@ -52,7 +52,9 @@
         }
         val largest: (Asked) -> Boolean = { it.spec.tasks == LARGE && it.atMs < OVERLOAD_S * 1000L / 2 }
         assertTrue(served(largest) > 0.5) { "largest: ${served(largest)}" }
-        val late = asked.filter { it.spec.tasks == LARGE }.filter { (world.firstStartMs[it.spec.id] ?: Long.MAX_VALUE) - it.atMs > BEGIN_MS }
+        val late = asked.filter {
+            it.spec.tasks == LARGE
+        }.filter { (world.firstStartMs[it.spec.id] ?: Long.MAX_VALUE) - it.atMs > BEGIN_MS }
         assertTrue(late.isEmpty()) { "began late: ${late.map { it.spec.id }}" }
     }
 
--- a/src/test/kotlin/cleathitch/core/ForwardedReportsTest.kt
+++ b/src/test/kotlin/cleathitch/core/ForwardedReportsTest.kt
@@ -81,17 +81,15 @@
         oneRunningTask()
         at(nowMs + (deployment.leaseS * 1000).toLong() / 2)
         forward(heartbeat(0, seq = 3, baseSeq = 2))
-        val arrivedMs = nowMs
-        machine1Arrives()
-        while (nowMs < arrivedMs + deployment.leaseS * 1000) {
-            val effects = settle(rounds = 1)
-            step(Command.Reported(request(), report(1, seq = nowMs)))
-            if (nowMs < arrivedMs + deployment.leaseS * 1000) assertEquals(emptyList<MachineId>(), started(effects))
+        val leaseEndMs = nowMs + (deployment.leaseS * 1000).toLong()
+        var shown = OrderVersion.first(revision)
+        val starts = ArrayList<Long>()
+        while (nowMs < leaseEndMs * 2) {
+            val answers = step(Command.Reported(request(), report(1, seq = nowMs, version = shown)))
+            shown = answers.filterIsInstance<Effect.AnswerReport>().single().version
+            if (started(settle(rounds = 1)).isNotEmpty()) starts += nowMs
         }
-    }
-
-    private fun machine1Arrives() {
-        step(Command.Reported(request(), report(1)))
+        assertTrue(starts.isNotEmpty() && starts.first() >= leaseEndMs) { "$starts, the lease may run until $leaseEndMs" }
     }
 
     /** Without a lease of its own a leader answers for a bounded time, through followers too. */
--- a/src/test/kotlin/cleathitch/core/MeetingsTest.kt
+++ b/src/test/kotlin/cleathitch/core/MeetingsTest.kt
@@ -30,10 +30,20 @@
         private fun obey(newer: OrderVersion, orders: List<Order>) {
             if (newer < version) return
             version = newer
-            for (order in orders) when (order) {
-                is Order.Start -> tasks.putIfAbsent(order.attempt, ReportedTask(order.attempt, TaskState.RUNNING))
-                is Order.Stop -> tasks.computeIfPresent(order.attempt) { _, task -> if (task.state == TaskState.EXITED) task else exited(order.attempt, ExitReason.STOPPED) }
-                is Order.Forget -> tasks.remove(order.attempt)
+            for (order in orders) {
+                when (order) {
+                    is Order.Start -> tasks.putIfAbsent(order.attempt, ReportedTask(order.attempt, TaskState.RUNNING))
+                    is Order.Stop -> tasks.computeIfPresent(order.attempt) { _, task ->
+                        if (task.state ==
+                            TaskState.EXITED
+                        ) {
+                            task
+                        } else {
+                            exited(order.attempt, ExitReason.STOPPED)
+                        }
+                    }
+                    is Order.Forget -> tasks.remove(order.attempt)
+                }
             }
         }
 
@@ -93,10 +103,12 @@
      */
     @Test
     fun `grace, lease and margins end before cancelled tasks must be gone, whatever the report period`() {
-        for (reportS in listOf(1.0, 3.0, 6.0, 10.0)) for (cancelS in listOf(deployment.leaseS + 12, 64.0, 120.0)) {
-            val tuning = Tuning.of(deployment.copy(reportS = reportS, cancelS = cancelS))
-            val surelyGoneMs = tuning.graceMs + deployment.leaseS * 1000 + tuning.leaseMarginMs
-            assertTrue(surelyGoneMs < cancelS * 1000) { "$surelyGoneMs ms of $cancelS s with reports every $reportS s" }
+        for (reportS in listOf(1.0, 3.0, 6.0, 10.0)) {
+            for (cancelS in listOf(deployment.leaseS + 12, 64.0, 120.0)) {
+                val tuning = Tuning.of(deployment.copy(reportS = reportS, cancelS = cancelS))
+                val surelyGoneMs = tuning.graceMs + deployment.leaseS * 1000 + tuning.leaseMarginMs
+                assertTrue(surelyGoneMs < cancelS * 1000) { "$surelyGoneMs ms of $cancelS s with reports every $reportS s" }
+            }
         }
     }
 
@@ -173,7 +185,10 @@
         stateServiceOut = true
         val spec = World.job(1, tasks = 1)
         val effects = step(
-            Command.Reported(request(), machine.shown()), Command.Abort(request(), spec.id), Command.Poll(request(), spec.id), Command.Submit(request(), spec),
+            Command.Reported(request(), machine.shown()),
+            Command.Abort(request(), spec.id),
+            Command.Poll(request(), spec.id),
+            Command.Submit(request(), spec),
         )
         val early = effects.filterIsInstance<Effect.Answer>().map { it.reply }
         assertTrue(early.none { it is UserReply.Aborted || it is UserReply.Status && it.state == ShownState.DONE }) { "$early" }
@@ -368,7 +383,15 @@
         runs(1, tasks = 2)
         aborts(1)
         submits(2)
-        repeat(2) { assertEquals(emptyList<AttemptId>(), starts(machine.reports(deaf = true) + settle(rounds = 2)).filter { it.task == taskOf(2) }) }
+        repeat(2) {
+            assertEquals(
+                emptyList<AttemptId>(),
+                starts(machine.reports(deaf = true) + settle(rounds = 2)).filter {
+                    it.task ==
+                        taskOf(2)
+                },
+            )
+        }
         machine.losesLease()
         machine.reports(deaf = true)
         assertEquals(listOf(taskOf(2)), starts(periods(2, others = listOf(Machine(2)))).map { it.task }.distinct())
--- a/src/test/kotlin/cleathitch/core/RulesTest.kt
+++ b/src/test/kotlin/cleathitch/core/RulesTest.kt
@@ -26,7 +26,22 @@
         "all nodes away" to Weather(held = 0.02, copied = 0.1, awayS = 50.0, cancelNowS = 40.0),
         "the gap" to Weather(gapAtS = 30.0),
         "the gap, with held messages and hanging machines" to Weather(held = 0.03, copied = 0.05, hangS = 20.0, gapAtS = 30.0),
-        "everything at once" to Weather(0.05, 0.05, 0.05, killS = 25.0, cutS = 30.0, dieS = 20.0, hangS = 15.0, copied = 0.05, deafS = 40.0, bounceS = 30.0, rackS = 60.0, zoneS = 60.0, standS = 30.0),
+        "everything at once" to
+            Weather(
+                lost = 0.05,
+                held = 0.05,
+                twice = 0.05,
+                killS = 25.0,
+                cutS = 30.0,
+                dieS = 20.0,
+                hangS = 15.0,
+                copied = 0.05,
+                deafS = 40.0,
+                bounceS = 30.0,
+                rackS = 60.0,
+                zoneS = 60.0,
+                standS = 30.0,
+            ),
     )
 
     @TestFactory
--- a/src/test/kotlin/cleathitch/core/SilenceTest.kt
+++ b/src/test/kotlin/cleathitch/core/SilenceTest.kt
@@ -71,7 +71,10 @@
         busy(40)
         repeat(10) { step(Command.DirectUnanswered(report(it).machine)) }
         val old = OrderVersion.first(revision)
-        val effects = (1..4).flatMap { period(10 until 40, throughFollower = true) + period(5 until 10, version = old, throughFollower = true) }
+        val effects = (1..4).flatMap {
+            period(10 until 40, throughFollower = true) +
+                period(5 until 10, version = old, throughFollower = true)
+        }
         assertEquals(emptyList<Effect>(), effects.filterIsInstance<Effect.StepDown>())
     }
 
--- a/src/test/kotlin/cleathitch/core/TakeOverTest.kt
+++ b/src/test/kotlin/cleathitch/core/TakeOverTest.kt
@@ -6,7 +6,11 @@
 
 /** A leader that keeps only its workers, and what its successor may do. */
 class LonelyLeaderTest : EngineTrace() {
-    private fun answerTo(command: Command) = step(command).filter { it is Effect.Answer || it is Effect.AnswerReport || it is Effect.RefuseReport }.single()
+    private fun answerTo(command: Command) = step(command).filter {
+        it is Effect.Answer ||
+            it is Effect.AnswerReport ||
+            it is Effect.RefuseReport
+    }.single()
 
     /** Without a bound its machines would run on for ever, and nobody could ever start their tasks elsewhere. */
     @Test
@@ -20,22 +24,37 @@
         val submission = answerTo(Command.Submit(request(), World.job(99))) as Effect.Answer
         for (reply in listOf(poll.reply, submission.reply)) assertTrue(reply is UserReply.NotNow && reply.retryAfterS > 0)
         val decided = (1..20).flatMap { step(Command.Tick) }
-        assertEquals(emptyList<Effect>(), decided.filter { it is Effect.Write || it is Effect.Push || it is Effect.Rent || it is Effect.Return })
+        assertEquals(
+            emptyList<Effect>(),
+            decided.filter {
+                it is Effect.Write ||
+                    it is Effect.Push ||
+                    it is Effect.Rent ||
+                    it is Effect.Return
+            },
+        )
         at(1000 + tuning.graceMs)
         assertTrue(answerTo(Command.Reported(request(), report(0, seq = 3))) is Effect.RefuseReport)
     }
 }
 
 /** The successor in term 9; the records say that a task was started on a machine that nobody has heard of since. */
-class TakeOverTest : EngineTrace(
-    term = 9,
-    snapshot = Snapshot(
-        head = Seq(5), records = emptyList(), fleet = null, finals = emptyList(),
-        jobs = listOf(
-            Snapshot.StoredJob(JobCell(5, World.job(1, tasks = 1), 0, false, byteArrayOf(), listOf(LiveAttempt(0, 1, MachineId("vm-000001"))), 1), parts = 1),
+class TakeOverTest :
+    EngineTrace(
+        term = 9,
+        snapshot = Snapshot(
+            head = Seq(5),
+            records = emptyList(),
+            fleet = null,
+            finals = emptyList(),
+            jobs = listOf(
+                Snapshot.StoredJob(
+                    JobCell(5, World.job(1, tasks = 1), 0, false, byteArrayOf(), listOf(LiveAttempt(0, 1, MachineId("vm-000001"))), 1),
+                    parts = 1,
+                ),
+            ),
         ),
-    ),
-) {
+    ) {
     private val started = AttemptId(TaskId(JobId("j-000001"), 0), 1)
 
     private fun starts(effects: List<Effect>) = effects.filterIsInstance<Effect.Push>()
@@ -67,7 +86,9 @@
     @Test
     fun `a start that the machine doesn't show goes to it again, as the same attempt and under the new term`() {
         step(Command.LeaseHeld(Long.MAX_VALUE / 2), Command.TypesListed(listOf(type)))
-        val answer = step(Command.Reported(request(), report(1, seq = 4, OrderVersion.first(7)))).filterIsInstance<Effect.AnswerReport>().single()
+        val answer = step(
+            Command.Reported(request(), report(1, seq = 4, OrderVersion.first(7))),
+        ).filterIsInstance<Effect.AnswerReport>().single()
         assertEquals(listOf<Order>(Order.Start(started)), answer.orders)
         assertTrue(answer.version > OrderVersion.first(9))
     }
--- a/src/test/kotlin/cleathitch/core/World.kt
+++ b/src/test/kotlin/cleathitch/core/World.kt
@@ -53,12 +53,7 @@
  * A stand-in for everything round the core: state service, cloud, workers, users and the nodes' own
  * elections, in simulated time and from one seed. After each step it checks the page's rules.
  */
-class World(
-    seed: Long,
-    private val weather: Weather,
-    val deployment: Deployment = standard,
-    private val mostMachines: Int = 24,
-) {
+class World(seed: Long, private val weather: Weather, val deployment: Deployment = standard, private val mostMachines: Int = 24) {
     private class Step(val atMs: Long, val order: Long, val action: () -> Unit)
 
     val random = Random(seed)
@@ -129,10 +124,14 @@
         expireLease()
         if (leaderKey != term || headRevision != head) return null
         revision++
-        for (change in changes) when (change) {
-            is Change.Put -> cells[change.key] = Cell(change.key, change.value, change.parts)
-            // the world keeps a cell's parts together, so each part's deletion is the cell's
-            is Change.Delete -> cells.remove(if (change.key.startsWith(Journal.JOB_PREFIX)) change.key.substringBeforeLast('/') else change.key)
+        for (change in changes) {
+            when (change) {
+                is Change.Put -> cells[change.key] = Cell(change.key, change.value, change.parts)
+                // the world keeps a cell's parts together, so each part's deletion is the cell's
+                is Change.Delete -> cells.remove(
+                    if (change.key.startsWith(Journal.JOB_PREFIX)) change.key.substringBeforeLast('/') else change.key,
+                )
+            }
         }
         headRevision = revision
         return revision
@@ -301,17 +300,20 @@
                     send(if (late) random.nextLong(2000, 12_000) else 0) {
                         if (!late && nowMs < stateDownUntilMs) return@send
                         val done = transact(mine, expected, commit.changes)
-                        val applied = (cells[Journal.HEAD]?.stored as? Stored.Head)?.let { it.seq == commit.seq && it.term.revision == mine } == true
+                        val applied =
+                            (cells[Journal.HEAD]?.stored as? Stored.Head)?.let { it.seq == commit.seq && it.term.revision == mine } == true
                         val result = done ?: headRevision.takeIf { applied }
                         val refused = result == null
-                        if (!late && (calm || random.nextDouble() >= weather.lost)) after(random.nextLong(1, 10)) {
-                            if (term == mine && engine != null && inFlight === commit) {
-                                if (refused) {
-                                    resign()
-                                } else {
-                                    inFlight = null
-                                    head = result!!
-                                    take(Command.Committed(commit.seq, result))
+                        if (!late && (calm || random.nextDouble() >= weather.lost)) {
+                            after(random.nextLong(1, 10)) {
+                                if (term == mine && engine != null && inFlight === commit) {
+                                    if (refused) {
+                                        resign()
+                                    } else {
+                                        inFlight = null
+                                        head = result!!
+                                        take(Command.Committed(commit.seq, result))
+                                    }
                                 }
                             }
                         }
@@ -395,7 +397,8 @@
         val cpusUsed get() = tasks.values.filter { it.state != TaskState.EXITED }.sumOf { submitted.getValue(it.id.task.job).spec.cpus }
         val works get() = nowMs >= hangsUntilMs && !deaf && nowMs >= muteUntilMs
         fun has(task: TaskId) = tasks.values.any { it.id.task == task && it.state != TaskState.EXITED }
-        fun cpusOf(job: JobId) = tasks.values.count { it.id.task.job == job && it.state != TaskState.EXITED } * submitted.getValue(job).spec.cpus
+        fun cpusOf(job: JobId) =
+            tasks.values.count { it.id.task.job == job && it.state != TaskState.EXITED } * submitted.getValue(job).spec.cpus
         fun runsOf(job: JobId) = tasks.keys.any { it.task.job == job }
         val zone get() = offer.zone
         val spot get() = offer.spot
@@ -403,7 +406,9 @@
         /** A task counts as on the machine from when it has its image until it exits. */
         fun onMachine() = if (nowMs - leaseFromMs > deployment.leaseS * 1000) {
             emptyList() // killed with its lease, also when it hangs and can't do so itself
-        } else tasks.values.filter { it.imageAtMs <= nowMs && it.state != TaskState.EXITED }.map { it.id.task }
+        } else {
+            tasks.values.filter { it.imageAtMs <= nowMs && it.state != TaskState.EXITED }.map { it.id.task }
+        }
 
         fun live() {
             if (machines[id] !== this) return
@@ -468,7 +473,13 @@
             send(heldMs) {
                 target.takeReport(report) { version, orders ->
                     send(heldMs) {
-                        if (!deaf && machines[id] === this && report.session == session && nowMs - sentMs < 4000 && !answered && nowMs >= hangsUntilMs) {
+                        if (!deaf &&
+                            machines[id] === this &&
+                            report.session == session &&
+                            nowMs - sentMs < 4000 &&
+                            !answered &&
+                            nowMs >= hangsUntilMs
+                        ) {
                             answered = true
                             if (version.packed >= token) {
                                 advance()
@@ -506,22 +517,30 @@
         }
 
         private fun execute(orders: List<Order>) {
-            for (order in orders) when (order) {
-                is Order.Start -> if (order.attempt !in tasks) {
-                    val job = submitted.getValue(order.attempt.task.job)
-                    val image = nowMs + random.nextLong(0, 4000)
-                    val known = order.attempt.task in results
-                    val runs = if (job.spec.kind == JobKind.SERVICE) null else if (known) 0 else random.nextLong(2000, 15_000)
-                    tasks[order.attempt] = Running(order.attempt, TaskState.FETCHING, image, runs?.let { image + it })
-                    started(order.attempt.task, this)
-                }
-                is Order.Stop -> tasks[order.attempt]?.let {
-                    if (it.state != TaskState.EXITED) {
-                        it.state = TaskState.EXITED
-                        it.why = ExitReason.STOPPED
+            for (order in orders) {
+                when (order) {
+                    is Order.Start -> if (order.attempt !in tasks) {
+                        val job = submitted.getValue(order.attempt.task.job)
+                        val image = nowMs + random.nextLong(0, 4000)
+                        val known = order.attempt.task in results
+                        val runs = if (job.spec.kind == JobKind.SERVICE) {
+                            null
+                        } else if (known) {
+                            0
+                        } else {
+                            random.nextLong(2000, 15_000)
+                        }
+                        tasks[order.attempt] = Running(order.attempt, TaskState.FETCHING, image, runs?.let { image + it })
+                        started(order.attempt.task, this)
                     }
+                    is Order.Stop -> tasks[order.attempt]?.let {
+                        if (it.state != TaskState.EXITED) {
+                            it.state = TaskState.EXITED
+                            it.why = ExitReason.STOPPED
+                        }
+                    }
+                    is Order.Forget -> tasks[order.attempt]?.let { if (it.state == TaskState.EXITED) tasks.remove(order.attempt) }
                 }
-                is Order.Forget -> tasks[order.attempt]?.let { if (it.state == TaskState.EXITED) tasks.remove(order.attempt) }
             }
         }
     }
@@ -604,7 +623,14 @@
         submitted.values.filter { it.accepted }.randomOrNull(random)?.let { known -> request(known) { Command.Submit(it, known.spec) } }
         submitted.values.filter { it.doneTold }.randomOrNull(random)?.let { known -> request(known) { Command.Abort(it, known.spec.id) } }
         val good = job(900_000 + random.nextInt(100_000))
-        val odd = listOf(good.copy(team = "green"), good.copy(cpus = 99.0), good.copy(types = setOf("m9")), good.copy(zone = "c"), good.copy(kind = JobKind.SERVICE, tasks = 7))
+        val odd =
+            listOf(
+                good.copy(team = "green"),
+                good.copy(cpus = 99.0),
+                good.copy(types = setOf("m9")),
+                good.copy(zone = "c"),
+                good.copy(kind = JobKind.SERVICE, tasks = 7),
+            )
         val node = nodes.filter { it.engine != null }.randomOrNull(random) ?: return
         val request = RequestId(++requests)
         answers[request] = { if (it !is UserReply.NeverRuns && it !is UserReply.NotNow) broken += "accepted though it can't run: $it" }
@@ -663,13 +689,15 @@
         val places = HashMap<TaskId, Worker>()
         val cpus = HashMap<String, Double>()
         val zones = HashMap<JobId, HashMap<String, Int>>()
-        for (worker in machines.values) for (task in worker.onMachine()) {
-            val known = submitted.getValue(task.job)
-            places.put(task, worker)?.let { broken += "ran_twice: $task on ${it.id} and ${worker.id}" }
-            cpus.merge(known.spec.team, known.spec.cpus, Double::plus)
-            zones.getOrPut(task.job) { HashMap() }.merge(worker.zone, 1, Int::plus)
-            known.cancelledToldMs?.let {
-                if (nowMs - it > deployment.cancelS * 1000) broken += "ran_cancelled: $task on ${worker.id}"
+        for (worker in machines.values) {
+            for (task in worker.onMachine()) {
+                val known = submitted.getValue(task.job)
+                places.put(task, worker)?.let { broken += "ran_twice: $task on ${it.id} and ${worker.id}" }
+                cpus.merge(known.spec.team, known.spec.cpus, Double::plus)
+                zones.getOrPut(task.job) { HashMap() }.merge(worker.zone, 1, Int::plus)
+                known.cancelledToldMs?.let {
+                    if (nowMs - it > deployment.cancelS * 1000) broken += "ran_cancelled: $task on ${worker.id}"
+                }
             }
         }
         for ((team, used) in cpus) {
@@ -699,14 +727,26 @@
         for (known in submitted.values) {
             val spec = known.spec
             val ended = known.abortAsked || known.doneTold || !known.accepted
-            val waits = !ended && (0 until spec.tasks).any { i -> TaskId(spec.id, i).let { task -> task !in results && machines.values.none { it.has(task) } } }
+            val waits =
+                !ended &&
+                    (0 until spec.tasks).any { i ->
+                        TaskId(spec.id, i).let { task ->
+                            task !in results &&
+                                machines.values.none { it.has(task) }
+                        }
+                    }
             val zones = machines.values.filter { it.runsOf(spec.id) }.groupingBy { it.zone }.eachCount()
             val room = machines.values.any { machine ->
-                machine.works && machine.cpusUsed + spec.cpus <= type.cpus && (spec.spotAllowed || !machine.spot) &&
-                    (spec.zone == null || machine.zone == spec.zone) && (!spec.oneZone || zones.keys.all { it == machine.zone }) &&
+                machine.works &&
+                    machine.cpusUsed + spec.cpus <= type.cpus &&
+                    (spec.spotAllowed || !machine.spot) &&
+                    (spec.zone == null || machine.zone == spec.zone) &&
+                    (!spec.oneZone || zones.keys.all { it == machine.zone }) &&
                     (zones[machine.zone] ?: 0) < spec.maxPerZone
             }
-            val used = machines.values.sumOf { machine -> submitted.values.filter { it.spec.team == spec.team }.sumOf { machine.cpusOf(it.spec.id) } }
+            val used = machines.values.sumOf { machine ->
+                submitted.values.filter { it.spec.team == spec.team }.sumOf { machine.cpusOf(it.spec.id) }
+            }
             val allowed = deployment.teams.getValue(spec.team).maxCpus?.let { used + spec.cpus <= it } ?: true
             if (!waits || !room || !allowed) waitSinceMs.remove(spec.id) else waitSinceMs.putIfAbsent(spec.id, nowMs)
             if (nowMs - (waitSinceMs[spec.id] ?: nowMs) >= WAIT_MS) broken += "left waiting: ${spec.id} though a machine has room"
@@ -741,8 +781,18 @@
             node.standsUntilMs = nowMs + random.nextLong(1000, if (random.nextInt(4) == 0) 50_000 else 6000)
         }
         now(weather.outageS) { outage(random.nextLong(500, if (random.nextInt(4) == 0) 50_000 else 8000)) }
-        now(weather.muteS) { machines.values.shuffled(random).take(1 + machines.size / 3).forEach { it.muteUntilMs = nowMs + random.nextLong(60_000) } }
-        now(weather.deafManyS) { machines.values.shuffled(random).take(1 + machines.size / 3).forEach { it.deafUntilMs = nowMs + random.nextLong(60_000) } }
+        now(weather.muteS) {
+            machines.values.shuffled(random).take(1 + machines.size / 3).forEach {
+                it.muteUntilMs =
+                    nowMs + random.nextLong(60_000)
+            }
+        }
+        now(weather.deafManyS) {
+            machines.values.shuffled(random).take(1 + machines.size / 3).forEach {
+                it.deafUntilMs =
+                    nowMs + random.nextLong(60_000)
+            }
+        }
         now(weather.cancelNowS) { cancelSome(hang = true) }
         now(weather.oddS, ::oddRequests)
         now(weather.awayS) {
--- a/src/test/kotlin/cleathitch/http/FrontTest.kt
+++ b/src/test/kotlin/cleathitch/http/FrontTest.kt
@@ -3,15 +3,15 @@
 import cleathitch.protocol.HttpReply
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.dispatcher
-import java.io.IOException
-import java.net.Socket
-import java.net.SocketTimeoutException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import java.io.IOException
+import java.net.Socket
+import java.net.SocketTimeoutException
 
 /** A real server on loopback, at the limit of its connections. */
 class FrontTest {
--- a/src/test/kotlin/cleathitch/peers/CommandDeliveryTest.kt
+++ b/src/test/kotlin/cleathitch/peers/CommandDeliveryTest.kt
@@ -50,7 +50,11 @@
         Report(machine, "10.0.0.1:9000", "m4", "a", false, 1, 7, OrderVersion.first(9), null, emptyList())
 
     private fun push(machine: Int) = Effect.Push(
-        MachineId("vm-$machine"), "10.0.0.1:9000", 1, OrderVersion.first(9), listOf(Order.Start(AttemptId(TaskId(JobId("j-1"), 0), 1))),
+        MachineId("vm-$machine"),
+        "10.0.0.1:9000",
+        1,
+        OrderVersion.first(9),
+        listOf(Order.Start(AttemptId(TaskId(JobId("j-1"), 0), 1))),
     )
 
     private fun deliver(vararg commands: Effect.ToWorker) = runBlocking { delivery.deliver(this, commands.toList()) }
--- a/src/test/kotlin/cleathitch/protocol/CodecTest.kt
+++ b/src/test/kotlin/cleathitch/protocol/CodecTest.kt
@@ -35,21 +35,39 @@
             "report",
             """{"burro":"vm-000231","addr":"10.1.0.232:9000","hornada":"g8","comarca":"a","prestados":true,"jornada":1,"folio":88,"vara":41,
                 "avisoS":null,"tareas":[{"tarea":"j-000412/3","intento":2,"estado":"running"}]}""",
-            listOf("burro", "addr", "hornada", "comarca", "prestados", "jornada", "folio", "vara", "tareas", "tareas.tarea", "tareas.intento", "tareas.estado"),
+            listOf("burro", "addr", "hornada", "comarca", "prestados", "jornada", "folio", "vara", "tareas") +
+                listOf("tareas.tarea", "tareas.intento", "tareas.estado"),
             WorkerWire::report,
         ),
         Row(
             "machine types",
             """{"hornadas":[{"label":"g8","vcpus":96,"gpus":8,"memoryGb":768,"localGb":200,"fetchGbPerS":1.0,"rate":12.0,"spotPrice":4.5,
                 "bootS":45,"comarcas":["a","b"]}]}""",
-            listOf("hornadas", "hornadas.label", "hornadas.vcpus", "hornadas.memoryGb", "hornadas.rate", "hornadas.bootS", "hornadas.comarcas"),
+            listOf(
+                "hornadas",
+                "hornadas.label",
+                "hornadas.vcpus",
+                "hornadas.memoryGb",
+                "hornadas.rate",
+                "hornadas.bootS",
+                "hornadas.comarcas",
+            ),
             CloudWire::types,
         ),
         Row(
             "machines",
             """{"burros":[{"nameId":"vm-000231","addr":"10.1.0.232:9000","hornada":"g8","comarca":"a","prestados":true,"estado":"running",
                 "heldS":61.5}],"truncated":false}""",
-            listOf("burros", "truncated", "burros.nameId", "burros.addr", "burros.hornada", "burros.prestados", "burros.estado", "burros.heldS"),
+            listOf(
+                "burros",
+                "truncated",
+                "burros.nameId",
+                "burros.addr",
+                "burros.hornada",
+                "burros.prestados",
+                "burros.estado",
+                "burros.heldS",
+            ),
             CloudWire::page,
         ),
         Row("rental", """{"burros":["vm-000231"]}""", listOf("burros"), CloudWire::rented),
@@ -73,7 +91,13 @@
             listOf("missing" to null, "of another type" to json.readTree("""[{"x":"y"}]""")).map { (how, value) ->
                 DynamicTest.dynamicTest("${row.name}: $field $how") {
                     val broken = node(row.text)
-                    val (holder, name) = if ('.' in field) broken.get(field.substringBefore('.'))[0] as ObjectNode to field.substringAfter('.') else broken to field
+                    val (holder, name) = if ('.' in
+                        field
+                    ) {
+                        broken.get(field.substringBefore('.'))[0] as ObjectNode to field.substringAfter('.')
+                    } else {
+                        broken to field
+                    }
                     if (value == null) holder.remove(name) else holder.set<ObjectNode>(name, if (name == "data") json.nullNode() else value)
                     assertThrows(Malformed::class.java) { row.read(Wire.encode(broken)) }
                 }
@@ -84,19 +108,33 @@
     @TestFactory
     fun `what isn't one whole map is malformed`() = rows.flatMap { row ->
         val whole = Wire.encode(node(row.text))
-        listOf("empty" to ByteArray(0), "cut short" to whole.copyOf(whole.size - 1), "trailing bytes" to whole + 1, "a list" to byteArrayOf(0x90.toByte()))
-            .map { (how, bytes) -> DynamicTest.dynamicTest("${row.name}: $how") { assertThrows(Malformed::class.java) { row.read(bytes) } } }
+        listOf(
+            "empty" to ByteArray(0),
+            "cut short" to whole.copyOf(whole.size - 1),
+            "trailing bytes" to whole + 1,
+            "a list" to byteArrayOf(0x90.toByte()),
+        )
+            .map { (how, bytes) ->
+                DynamicTest.dynamicTest("${row.name}: $how") { assertThrows(Malformed::class.java) { row.read(bytes) } }
+            }
     }
 
     @Test
     fun `states and reasons of tasks are read by their names`() {
         fun task(fields: String) = WorkerWire.report(
-            Wire.encode(node(rows[0].text).also { (it.get("tareas") as ArrayNode).removeAll().add(node("""{"tarea":"j-000412/3","intento":2,$fields}""")) }),
+            Wire.encode(
+                node(rows[0].text).also {
+                    (it.get("tareas") as ArrayNode).removeAll().add(node("""{"tarea":"j-000412/3","intento":2,$fields}"""))
+                },
+            ),
         ).tasks.single()
         val id = AttemptId(TaskId(JobId("j-000412"), 3), 2)
         assertEquals(ReportedTask(id, TaskState.FETCHING), task(""""estado":"pulling""""))
         assertEquals(ReportedTask(id, TaskState.SAVING), task(""""estado":"flushing""""))
-        assertEquals(ReportedTask(id, TaskState.EXITED, ExitReason.STOPPED, saved = true), task(""""estado":"exited","motivo":"halted","kept":true"""))
+        assertEquals(
+            ReportedTask(id, TaskState.EXITED, ExitReason.STOPPED, saved = true),
+            task(""""estado":"exited","motivo":"halted","kept":true"""),
+        )
         assertEquals(ReportedTask(id, TaskState.EXITED, null), task(""""estado":"exited","motivo":"later known""""))
         assertThrows(Malformed::class.java) { task(""""estado":"dancing"""") }
     }
@@ -114,7 +152,10 @@
 
     @Test
     fun `peers understand each other, and garbled requests are told as such`() {
-        val held = mapOf(MachineId("vm-1") to HeldImages(2, mapOf("a" to 1.5, "b" to 0.5)), MachineId("vm-2") to HeldImages(1, mapOf("b" to 0.5)))
+        val held = mapOf(
+            MachineId("vm-1") to HeldImages(2, mapOf("a" to 1.5, "b" to 0.5)),
+            MachineId("vm-2") to HeldImages(1, mapOf("b" to 0.5)),
+        )
         val part = PeerRequest.Images.of(held).single()
         assertEquals(held, (PeerCodec.decodeRequest(PeerCodec.encode(part)) as PeerRequest.Images).held())
         val leads = PeerRequest.Leads("n0", "n0", 9)
--- a/src/test/kotlin/cleathitch/protocol/UserWireTest.kt
+++ b/src/test/kotlin/cleathitch/protocol/UserWireTest.kt
@@ -4,11 +4,11 @@
 import cleathitch.core.Priority
 import com.fasterxml.jackson.databind.ObjectMapper
 import com.fasterxml.jackson.databind.node.ObjectNode
-import java.math.BigInteger
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertNull
 import org.junit.jupiter.api.Assertions.assertThrows
 import org.junit.jupiter.api.Test
+import java.math.BigInteger
 
 class UserWireTest {
     private val json = ObjectMapper()
--- a/src/test/kotlin/cleathitch/state/LeadershipTest.kt
+++ b/src/test/kotlin/cleathitch/state/LeadershipTest.kt
@@ -4,14 +4,14 @@
 import cleathitch.http.Address
 import io.vertx.core.Vertx
 import io.vertx.kotlin.coroutines.dispatcher
-import java.util.concurrent.LinkedBlockingQueue
-import java.util.concurrent.TimeUnit
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.launch
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
 
 /** Elections against a state service over HTTP. */
 class LeadershipTest {
@@ -29,7 +29,11 @@
 
     private fun compete() {
         val leadership = Leadership(
-            StateClient(vertx, Address("127.0.0.1", platform.port), timeoutMs = 500), "n0", "one", ttlMs = 1000, "leader/cleathitch",
+            StateClient(vertx, Address("127.0.0.1", platform.port), timeoutMs = 500),
+            "n0",
+            "one",
+            ttlMs = 1000,
+            "leader/cleathitch",
         ) { TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) }
         val listener = object : LeadershipListener {
             override fun elected(lease: Lease) {
