--- a/src/main/kotlin/cleathitch/peers/Messages.kt
+++ b/src/main/kotlin/cleathitch/peers/Messages.kt
@@ -4,9 +4,11 @@
 import cleathitch.core.HeldImages
 import cleathitch.core.JobId
 import cleathitch.core.MachineId
+import kotlinx.serialization.DeserializationStrategy
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.cbor.CborArray
 
@@ -114,7 +116,19 @@
     }
 
     fun encode(request: PeerRequest): ByteArray = cbor.encodeToByteArray(PeerRequest.serializer(), request)
-    fun decodeRequest(bytes: ByteArray): PeerRequest = cbor.decodeFromByteArray(PeerRequest.serializer(), bytes)
+
+    fun decodeRequest(bytes: ByteArray): PeerRequest = decode(bytes, PeerRequest.serializer())
+
     fun encode(reply: PeerReply): ByteArray = cbor.encodeToByteArray(PeerReply.serializer(), reply)
-    fun decodeReply(bytes: ByteArray): PeerReply = cbor.decodeFromByteArray(PeerReply.serializer(), bytes)
+
+    fun decodeReply(bytes: ByteArray): PeerReply = decode(bytes, PeerReply.serializer())
+
+    /** The library tells some garbled messages by exceptions of other kinds, as for an index out of range. */
+    private fun <T> decode(bytes: ByteArray, deserializer: DeserializationStrategy<T>): T = try {
+        cbor.decodeFromByteArray(deserializer, bytes)
+    } catch (e: SerializationException) {
+        throw e
+    } catch (e: RuntimeException) {
+        throw SerializationException("the message is garbled", e)
+    }
 }
