--- a/src/main/kotlin/cleathitch/App.kt
+++ b/src/main/kotlin/cleathitch/App.kt
@@ -48,13 +48,14 @@
         val services = Services(
             deployment,
             tuning,
-            WorkerClient(vertx, timeoutMs = reportMs, probeMs = tuning.probeGapMs, atOnce = direct),
+            WorkerClient(vertx, timeoutMs = reportMs, probeMs = tuning.probeGapMs, atOnce = direct, meters),
             CloudClient(
                 vertx,
                 settings.cloud,
                 CallBudget(deployment.cloudRps * (operator.cloudShare ?: CLOUD_SHARE), clocks::steadyMs),
                 timeoutMs = reportMs * 2,
                 workTimes,
+                meters,
             ),
             clocks,
             meters,
@@ -64,7 +65,7 @@
         )
         val stateMs = tuning.leaderLeaseMs / 3
         val leadership = Leadership(
-            StateClient(leaseLoop, settings.state, stateMs),
+            StateClient(leaseLoop, settings.state, stateMs, name = "lease", meters),
             settings.member,
             UUID.randomUUID().toString(),
             tuning.leaderLeaseMs,
@@ -72,7 +73,8 @@
             clocks::steadyMs,
         )
         val leaseScope = CoroutineScope(leaseLoop.dispatcher() + SupervisorJob())
-        val node = Node(settings, services, StateClient(vertx, settings.state, stateMs), leadership, leaseScope, PeerClient(vertx), scope)
+        val state = StateClient(vertx, settings.state, stateMs, name = "state", meters)
+        val node = Node(settings, services, state, leadership, leaseScope, PeerClient(vertx, meters), scope)
         val peerSockets = settings.peers.size * PeerClient.CONNECTIONS
         val ours = direct + peerSockets + OTHER_SOCKETS
         val internalRoom = Connections(peerSockets + OTHER_SOCKETS)
--- a/src/main/kotlin/cleathitch/LeaderTerm.kt
+++ b/src/main/kotlin/cleathitch/LeaderTerm.kt
@@ -20,6 +20,7 @@
 import cleathitch.core.UserReply
 import cleathitch.peers.CommandDelivery
 import cleathitch.peers.DirectResultMessage
+import cleathitch.state.CommitResult
 import cleathitch.state.Lease
 import cleathitch.state.Store
 import cleathitch.state.StoredCodec
@@ -88,6 +89,9 @@
     var ready = false
         private set
 
+    /** What this term is at, for the log. */
+    val activity get() = if (ready) "leading with ${queue.requests} requests waiting" else "replaying: ${store.activity}"
+
     suspend fun submit(spec: JobSpec) = askUser { Command.Submit(it, spec) }
     suspend fun poll(job: JobId) = askUser { Command.Poll(it, job) }
     suspend fun abort(job: JobId) = askUser { Command.Abort(it, job) }
@@ -226,13 +230,9 @@
             is Effect.RefuseReport -> reports[effect.request]?.answer?.complete(null)
             is Effect.AnswerFollower -> batches[effect.request]?.answer?.complete(checked(effect))
             is Effect.Write -> launch {
-                val revision = store.commit(effect.commit)
-                if (revision ==
-                    null
-                ) {
-                    stepDown(Effect.StepDown("a transaction was refused"))
-                } else {
-                    post(Command.Committed(effect.commit.seq, revision))
+                when (val result = store.commit(effect.commit)) {
+                    is CommitResult.Done -> post(Command.Committed(effect.commit.seq, result.revision))
+                    is CommitResult.Refused -> stepDown(Effect.StepDown("a transaction was refused: ${result.failedKeys} changed"))
                 }
             }
             // Sent together with the others of its batch.
--- a/src/main/kotlin/cleathitch/Node.kt
+++ b/src/main/kotlin/cleathitch/Node.kt
@@ -76,6 +76,8 @@
     /** The follower through which each machine last reported to us as leader. */
     private val reportsTo = HashMap<MachineId, String>()
     private val distribution = WorkerDistribution(reportMs)
+    private val elections = services.meters.counter("leader.elections")
+    private val replays = services.meters.counter("leader.replays")
     private val batches = LeaderBatches(
         intervalMs = services.tuning.forwardMs,
         unreachableMs = leaseMs,
@@ -86,6 +88,7 @@
 
     /** Takes part in the election, and returns once there is a leader, or there seems to be none soon. */
     suspend fun start() {
+        services.meters.gauge("leader.term", this) { (it.leading?.term?.revision ?: 0).toDouble() }
         scope.launch { learnTypes() }
         scope.launch { tellPeers() }
         scope.launch { batches.run() }
@@ -124,6 +127,7 @@
     private fun lead(lease: Lease) {
         val term = lease.term
         log.info("term {}: elected", term.revision)
+        elections.increment()
         val store = Store(state, PREFIX, LEADER_KEY, term, services.workTimes)
         val mine =
             LeaderTerm(lease, services, store, types, HashMap(imagesTold), {
@@ -134,7 +138,12 @@
         leading = mine
         leader = settings.member
         leaderTerm = term.revision
-        leadingJob = scope.launch { mine.run { leaderFound.complete(Unit) } }
+        leadingJob = scope.launch { mine.run(::replayed) }
+    }
+
+    private fun replayed() {
+        replays.increment()
+        leaderFound.complete(Unit)
     }
 
     private inner class Routes(private val term: Term) : CommandRoutes {
@@ -157,7 +166,13 @@
     private fun depose(term: Term, reason: String, handOver: Boolean = false) {
         val mine = leading ?: return
         if (mine.term != term) return
-        log.info("term {}: stepping down: {}", term.revision, reason)
+        log.info(
+            "term {}: stepping down: {}; {} ms after its election, {}",
+            term.revision,
+            reason,
+            clocks.steadyMs() - mine.sinceMs,
+            mine.activity,
+        )
         leading = null
         if (leader == settings.member) leader = null
         leadingJob?.cancel()
--- a/src/main/kotlin/cleathitch/cli/Rehearsal.kt
+++ b/src/main/kotlin/cleathitch/cli/Rehearsal.kt
@@ -7,9 +7,9 @@
 import cleathitch.core.OrderVersion
 import cleathitch.core.Report
 import cleathitch.http.Address
-import cleathitch.http.Caller
 import cleathitch.http.Connections
 import cleathitch.http.Front
+import cleathitch.http.PooledHttpClient
 import cleathitch.peers.OutgoingBatch
 import cleathitch.peers.PeerClient
 import cleathitch.peers.PeerRequest
@@ -37,7 +37,7 @@
 @Command(name = "rehearse", hidden = true, description = ["Loads what a controller needs, for the build's class archive."])
 class Rehearsal : Runnable {
     private val vertx = Vertx.vertx()
-    private val caller = Caller(vertx, connections = 4)
+    private val client = PooledHttpClient(vertx, "rehearsal", connections = 4)
     private var revision = 1L
     private var leaderTerm = 0L
 
@@ -56,15 +56,15 @@
             val node = Address("127.0.0.1", bind)
             val peers = PeerClient(vertx)
             repeat(ROUNDS) { round ->
-                caller.call(node, HttpMethod.GET, "/ready", null, 1000)
-                caller.call(node, HttpMethod.POST, "/submissions", Wire.encode(submission(round)), 1000)
-                caller.call(node, HttpMethod.GET, "/submissions/j-%06d".format(round), null, 1000)
-                caller.call(node, HttpMethod.POST, "/submissions/j-%06d/abort".format(round / 2), null, 1000)
-                caller.call(node, HttpMethod.POST, "/agent/beat", Wire.encode(beat(round)), 1000)
+                client.call(node, HttpMethod.GET, "/ready", null, 1000)
+                client.call(node, HttpMethod.POST, "/submissions", Wire.encode(submission(round)), 1000)
+                client.call(node, HttpMethod.GET, "/submissions/j-%06d".format(round), null, 1000)
+                client.call(node, HttpMethod.POST, "/submissions/j-%06d/abort".format(round / 2), null, 1000)
+                client.call(node, HttpMethod.POST, "/agent/beat", Wire.encode(beat(round)), 1000)
                 actAsFollower(peers, Address("127.0.0.1", internal), round.toLong())
                 delay(PAUSE_MS)
             }
-            caller.call(Address("127.0.0.1", internal), HttpMethod.GET, "/metrics", null, 1000)
+            client.call(Address("127.0.0.1", internal), HttpMethod.GET, "/metrics", null, 1000)
             exitProcess(0)
         }
     }
--- a/src/main/kotlin/cleathitch/cloud/CloudClient.kt
+++ b/src/main/kotlin/cleathitch/cloud/CloudClient.kt
@@ -8,10 +8,13 @@
 import cleathitch.core.MachineType
 import cleathitch.core.RentalAnswer
 import cleathitch.http.Address
-import cleathitch.http.Answer
-import cleathitch.http.Caller
+import cleathitch.http.CallResult
+import cleathitch.http.PooledHttpClient
+import cleathitch.http.answerWith
 import cleathitch.protocol.CloudWire
 import cleathitch.protocol.Malformed
+import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpMethod
 import kotlinx.coroutines.delay
@@ -42,11 +45,11 @@
     private val budget: CallBudget,
     private val timeoutMs: Long,
     private val workTimes: WorkTimes,
+    meters: MeterRegistry = SimpleMeterRegistry(),
 ) {
-    private val caller = Caller(vertx, connections = 4)
+    private val client = PooledHttpClient(vertx, "cloud", connections = 4, meters = meters)
 
-    suspend fun types(): List<MachineType>? =
-        read(call(HttpMethod.GET, "/flavors", null)?.takeIf { it.status == 200 }) { CloudWire.types(it.body) }
+    suspend fun types(): List<MachineType>? = read(call(HttpMethod.GET, "/flavors", null).answerWith(200)) { CloudWire.types(it.body) }
 
     /** All machines, or null if the list couldn't be read to its end. */
     suspend fun machines(): List<ListedMachine>? {
@@ -54,7 +57,7 @@
         var after: String? = null
         while (true) {
             val since = if (after == null) "" else "&since=$after"
-            val answer = call(HttpMethod.GET, "/hosts?most=$PAGE$since", null)?.takeIf { it.status == 200 }
+            val answer = call(HttpMethod.GET, "/hosts?most=$PAGE$since", null).answerWith(200)
             val page = read(answer) { workTimes.measure(WorkPart.MACHINE_LIST) { CloudWire.page(it.body) } } ?: return null
             all += page.machines
             after = page.machines.lastOrNull()?.machine?.text
@@ -63,7 +66,7 @@
     }
 
     suspend fun rent(asked: Event.RentalAsked): RentalAnswer {
-        val answer = call(HttpMethod.POST, "/hosts", CloudWire.rental(asked))
+        val answer = call(HttpMethod.POST, "/hosts", CloudWire.rental(asked)) as? CallResult.Answered
         return read(answer) {
             when {
                 it.status == 200 -> RentalAnswer.Rented(CloudWire.rented(it.body))
@@ -76,14 +79,14 @@
 
     /** True once the machines are surely gone. */
     suspend fun giveBack(machines: List<MachineId>): Boolean =
-        call(HttpMethod.POST, "/hosts/return", CloudWire.returns(machines))?.status == 200
+        call(HttpMethod.POST, "/hosts/return", CloudWire.returns(machines)).answerWith(200) != null
 
-    private suspend fun call(method: HttpMethod, path: String, body: ByteArray?): Answer? {
+    private suspend fun call(method: HttpMethod, path: String, body: ByteArray?): CallResult {
         budget.take()
-        return caller.call(address, method, path, body, timeoutMs)
+        return client.call(address, method, path, body, timeoutMs)
     }
 
-    private inline fun <T> read(answer: Answer?, decode: (Answer) -> T): T? = try {
+    private inline fun <T> read(answer: CallResult.Answered?, decode: (CallResult.Answered) -> T): T? = try {
         answer?.let(decode)
     } catch (e: Malformed) {
         log.error("a garbled answer from the cloud: {}", e.message)
--- a/src/main/kotlin/cleathitch/core/Engine.kt
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -454,6 +454,9 @@
 
     private fun noteSent(machine: Machine, orders: List<Order>) {
         for (order in orders) {
+            note(NoteLevel.DEBUG) {
+                "$order to machine ${machine.id} session ${machine.session} under version $version; records up to ${journal.committed} are committed"
+            }
             if (order is Order.Start) {
                 ledger.attempt(order.attempt)?.let {
                     it.sent = version
@@ -638,7 +641,7 @@
         val seq = append(Event.AttemptStarted(job.id, index, number, machine.id))
         machine.idleSinceMs = now.steadyMs
         pushAfter(seq, machine.id)
-        note(NoteLevel.DEBUG) { "task ${job.id}/$index#${job.lastNumber} goes to machine ${machine.id}" }
+        note(NoteLevel.DEBUG) { "task ${job.id}/$index#${job.lastNumber} goes to machine ${machine.id} with record $seq" }
     }
 
     private fun resizeFleet() {
--- a/src/main/kotlin/cleathitch/core/JobRequests.kt
+++ b/src/main/kotlin/cleathitch/core/JobRequests.kt
@@ -37,6 +37,12 @@
         context.emit(Effect.Answer(request, reply))
     }
 
+    /** An end that was told can't be taken back, so the log keeps why it could be told. */
+    private fun noteEnd(id: JobId, state: ShownState, source: String) {
+        if (state != ShownState.DONE && state != ShownState.CANCELLED) return
+        context.note(NoteLevel.DEBUG) { "job $id may be called $state: $source; records up to ${journal.committed} are committed" }
+    }
+
     fun submit(command: Command.Submit) {
         val (request, spec) = command
         if (!context.leaseHeld()) return answer(request, UserReply.NotNow("no lease"))
@@ -78,10 +84,15 @@
     }
 
     private fun status(id: JobId): UserReply {
-        ledger.finalState(id)?.let { return UserReply.Status(id, shown(it), 0, 0) }
+        ledger.finalState(id)?.let {
+            noteEnd(id, shown(it), "archived")
+            return UserReply.Status(id, shown(it), 0, 0)
+        }
         val job = ledger.job(id) ?: return UserReply.NotFound
         val running = job.live.values.count { it.seen == TaskState.RUNNING }
-        return UserReply.Status(id, shownState(job), job.doneCount, running)
+        val state = shownState(job)
+        noteEnd(id, state, "record ${job.cancelledSeq ?: job.finishedSeq}")
+        return UserReply.Status(id, state, job.doneCount, running)
     }
 
     fun abort(command: Command.Abort) {
@@ -97,7 +108,9 @@
             context.note(NoteLevel.DEBUG) { "job $id cancelled" }
         }
         val state = if (job.cancelled) ShownState.CANCELLED else ShownState.DONE
-        gate(job.cancelledSeq ?: job.finishedSeq!!, Effect.Answer(request, UserReply.Aborted(id, state)))
+        val record = job.cancelledSeq ?: job.finishedSeq!!
+        noteEnd(id, state, "once record $record is committed")
+        gate(record, Effect.Answer(request, UserReply.Aborted(id, state)))
     }
 
     private fun shown(state: FinalState) = when (state) {
--- a/src/main/kotlin/cleathitch/state/Leadership.kt
+++ b/src/main/kotlin/cleathitch/state/Leadership.kt
@@ -70,10 +70,12 @@
 
     suspend fun run(listener: LeadershipListener): Nothing {
         while (true) {
-            val page = state.list(leaderKey, null)
-            if (page == null) {
-                delay(ttlMs / 8)
-                continue
+            val page = when (val read = state.list(leaderKey, null)) {
+                is StateRead.Value -> read.value
+                is StateRead.Failed -> {
+                    delay(ttlMs / 8)
+                    continue
+                }
             }
             val entry = page.entries.firstOrNull { it.key == leaderKey }
             if (entry == null) {
@@ -87,9 +89,7 @@
                     // Won by a transaction whose answer was lost. What is left of its lease isn't known, and after
                     // a standstill it may be nothing: it counts from a renewal, not from this look.
                     val sent = steadyMs()
-                    if (state.extend(holder.lease) ==
-                        Renewal.Held
-                    ) {
+                    if (state.extend(holder.lease) == Renewal.Held) {
                         lead(listener, Term(entry.revision), holder.lease, sent)
                     } else {
                         delay(ttlMs / 8)
@@ -103,7 +103,7 @@
                 }
                 else -> {
                     listener.leaderIs(holder?.member, entry.revision)
-                    if (state.follow(leaderKey, page.revision, WATCH_LEASES * ttlMs) == null) delay(ttlMs / 8)
+                    if (state.follow(leaderKey, page.revision, WATCH_LEASES * ttlMs) is StateRead.Failed) delay(ttlMs / 8)
                 }
             }
         }
@@ -111,16 +111,15 @@
 
     private suspend fun compete(listener: LeadershipListener) {
         val asked = steadyMs()
-        val lease = state.hold(ttlMs)
-        if (lease == null) {
-            delay(ttlMs / 8)
-            return
+        val lease = when (val read = state.hold(ttlMs)) {
+            is StateRead.Value -> read.value
+            is StateRead.Failed -> return delay(ttlMs / 8)
         }
         val value = Wire.newMap().put("member", member).put("incarnation", incarnation).put("lease", lease)
         when (val result = state.transaction(mapOf(leaderKey to 0L), listOf(StateWire.Write.Put(leaderKey, value, lease)))) {
             is Txn.Done -> lead(listener, Term(result.revision), lease, asked)
             is Txn.Refused, Txn.NoLease -> state.release(lease)
-            Txn.Unavailable, Txn.Unknown -> delay(ttlMs / 8) // the next look shows whether we have it
+            is Txn.Unavailable, is Txn.Unknown -> delay(ttlMs / 8) // the next look shows whether we have it
         }
     }
 
@@ -143,10 +142,12 @@
                 return delay(ttlMs)
             }
             val sent = steadyMs()
-            when (state.extend(hold)) {
+            when (val renewal = state.extend(hold)) {
                 Renewal.Held -> lease.heldUntilMs = heldUntil(sent)
                 Renewal.Gone -> return listener.deposed(lease, "the lease ran out")
-                Renewal.Unknown -> if (steadyMs() > lease.heldUntilMs) log.info("term {}: the lease may have run out", term.revision)
+                is Renewal.Unknown -> if (steadyMs() > lease.heldUntilMs) {
+                    log.info("term {}: the lease may have run out: {}", term.revision, renewal.failure)
+                }
             }
         }
     }
--- a/src/main/kotlin/cleathitch/state/Store.kt
+++ b/src/main/kotlin/cleathitch/state/Store.kt
@@ -11,6 +11,15 @@
 import cleathitch.protocol.StateWire
 import kotlinx.coroutines.delay
 import org.slf4j.LoggerFactory
+import java.util.concurrent.TimeUnit
+
+/** What became of a commit. */
+sealed interface CommitResult {
+    data class Done(val revision: Long) : CommitResult
+
+    /** Another leads, or has led since: this node's term is over. */
+    data class Refused(val failedKeys: List<String>) : CommitResult
+}
 
 /**
  * The journal's place in the state service during one term.
@@ -26,49 +35,101 @@
     private val term: Term,
     private val workTimes: WorkTimes,
 ) {
+    private class Contents(val entries: List<StateWire.Entry>, val pages: Int)
+
     private var headRevision = 0L
 
+    /** What this store is doing, for the log of a term that ends in the middle of it. */
+    var activity = "nothing read yet"
+        private set
+
     /** Reads everything; since we hold the leader's key, nobody else writes meanwhile. */
     suspend fun load(): Snapshot {
+        val begunMs = steadyMs()
+        var tries = 0
         while (true) {
-            val entries = ArrayList<StateWire.Entry>()
-            var after: String? = null
-            var complete = false
-            while (!complete) {
-                val page = state.list(prefix, after) ?: break
-                entries += page.entries
-                after = page.entries.lastOrNull()?.key
-                complete = !page.more
-            }
-            if (complete) {
-                headRevision = entries.firstOrNull { it.key == prefix + Journal.HEAD }?.revision ?: 0
-                val named = entries.map { StateWire.Entry(it.key.removePrefix(prefix), it.value, it.revision) }
-                return workTimes.measure(WorkPart.REPLAY) { StoredCodec.snapshot(named) }
+            val contents = readAll(++tries)
+            if (contents != null) {
+                val snapshot = decode(contents.entries)
+                log.info(
+                    "term {}: read {} entries on {} pages in {} ms, try {}",
+                    term.revision,
+                    contents.entries.size,
+                    contents.pages,
+                    steadyMs() - begunMs,
+                    tries,
+                )
+                activity = "everything read"
+                return snapshot
             }
             delay(RETRY_MS)
         }
     }
 
-    /** Sends the same content until its fate is known; null if we lead no more. */
-    suspend fun commit(commit: Commit): Long? {
+    /** All entries, or null after a page that couldn't be read. */
+    private suspend fun readAll(tryNumber: Int): Contents? {
+        val entries = ArrayList<StateWire.Entry>()
+        var after: String? = null
+        var pages = 0
+        while (true) {
+            activity = "reading page ${pages + 1}, ${entries.size} entries so far, try $tryNumber"
+            val page = when (val read = state.list(prefix, after)) {
+                is StateRead.Value -> read.value
+                is StateRead.Failed -> {
+                    if (tryNumber == 1) log.info("term {}: page {} can't be read: {}", term.revision, pages + 1, read.failure)
+                    return null
+                }
+            }
+            pages++
+            entries += page.entries
+            after = page.entries.lastOrNull()?.key
+            if (!page.more) return Contents(entries, pages)
+        }
+    }
+
+    private fun decode(entries: List<StateWire.Entry>): Snapshot {
+        headRevision = entries.firstOrNull { it.key == prefix + Journal.HEAD }?.revision ?: 0
+        val named = entries.map { StateWire.Entry(it.key.removePrefix(prefix), it.value, it.revision) }
+        return workTimes.measure(WorkPart.REPLAY) { StoredCodec.snapshot(named) }
+    }
+
+    /** Sends the same content until its fate is known. */
+    suspend fun commit(commit: Commit): CommitResult {
         val guards = mapOf(leaderKey to term.revision, prefix + Journal.HEAD to headRevision)
         val writes = workTimes.measure(WorkPart.COMMIT_ENCODING) { commit.changes.flatMap(::writesOf) }
+        val begunMs = steadyMs()
+        var tries = 0
         while (true) {
+            tries++
             when (val result = state.transaction(guards, writes)) {
-                is Txn.Done -> return result.revision.also { headRevision = it }
-                is Txn.Refused -> return appliedAs(commit)?.also { headRevision = it }
-                Txn.NoLease, Txn.Unavailable, Txn.Unknown -> delay(RETRY_MS)
+                is Txn.Done -> return done(commit, result.revision, tries, begunMs)
+                is Txn.Refused -> {
+                    val earlier = appliedAs(commit) ?: return CommitResult.Refused(result.failed)
+                    return done(commit, earlier, tries, begunMs)
+                }
+                is Txn.NoLease, is Txn.Unavailable, is Txn.Unknown -> {
+                    if (tries == 1) log.info("term {}: record {} isn't written yet: {}", term.revision, commit.seq, result)
+                    delay(RETRY_MS)
+                }
             }
         }
     }
 
+    private fun done(commit: Commit, revision: Long, tries: Int, begunMs: Long): CommitResult {
+        headRevision = revision
+        if (tries > 1) log.info("term {}: record {} written at try {}, {} ms", term.revision, commit.seq, tries, steadyMs() - begunMs)
+        return CommitResult.Done(revision)
+    }
+
     /** An earlier copy of the same content may have been carried out though its answer was lost. */
     private suspend fun appliedAs(commit: Commit): Long? {
         while (true) {
-            val page = state.list(prefix + Journal.HEAD, null)
-            if (page == null) {
-                delay(RETRY_MS)
-                continue
+            val page = when (val read = state.list(prefix + Journal.HEAD, null)) {
+                is StateRead.Value -> read.value
+                is StateRead.Failed -> {
+                    delay(RETRY_MS)
+                    continue
+                }
             }
             val entry = page.entries.firstOrNull() ?: return null
             val head = try {
@@ -96,5 +157,7 @@
 
         /** Between two tries: some times a usual answer, so that an outage doesn't eat the request budget. */
         const val RETRY_MS = 100L
+
+        fun steadyMs() = TimeUnit.NANOSECONDS.toMillis(System.nanoTime())
     }
 }
--- a/src/main/kotlin/cleathitch/workers/WorkerClient.kt
+++ b/src/main/kotlin/cleathitch/workers/WorkerClient.kt
@@ -4,10 +4,13 @@
 import cleathitch.core.MachineId
 import cleathitch.core.Report
 import cleathitch.http.Address
-import cleathitch.http.Answer
-import cleathitch.http.Caller
+import cleathitch.http.CallResult
+import cleathitch.http.PooledHttpClient
+import cleathitch.http.answerWith
 import cleathitch.protocol.Malformed
 import cleathitch.protocol.WorkerWire
+import io.micrometer.core.instrument.MeterRegistry
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import io.vertx.core.Vertx
 import io.vertx.core.http.HttpMethod
 import kotlinx.coroutines.sync.Semaphore
@@ -20,8 +23,14 @@
  * beside the one each machine reports on, a node once ran out of sockets after a take-over, and so
  * of ways to renew its lease. An order that waits too long is in the machine's next answer anyway.
  */
-class WorkerClient(vertx: Vertx, private val timeoutMs: Long, private val probeMs: Long, atOnce: Int) {
-    private val caller = Caller(vertx, connections = 2, keepAlive = false)
+class WorkerClient(
+    vertx: Vertx,
+    private val timeoutMs: Long,
+    private val probeMs: Long,
+    atOnce: Int,
+    meters: MeterRegistry = SimpleMeterRegistry(),
+) {
+    private val client = PooledHttpClient(vertx, "workers", connections = 2, keepAlive = false, meters = meters, logsOutages = false)
     private val turns = Semaphore(atOnce)
 
     /** The machine's report in answer to the command; null if none came. */
@@ -34,17 +43,18 @@
     private suspend fun push(push: Effect.Push): Report? {
         val address = Address.parse(push.addr) ?: return null
         val body = WorkerWire.direct(push.version, push.session, push.orders)
-        val answer = turns.withPermit { caller.call(address, HttpMethod.POST, "/do", body, timeoutMs) } ?: return null
-        return if (answer.status == 200 || answer.status == 409) report(push.machine, answer) else null
+        val result = turns.withPermit { client.call(address, HttpMethod.POST, "/do", body, timeoutMs) }
+        val answer = result.answerWith(200) ?: result.answerWith(409)
+        return answer?.let { report(push.machine, it) }
     }
 
     private suspend fun inspect(inspect: Effect.Inspect): Report? {
         val address = Address.parse(inspect.addr) ?: return null
-        val answer = turns.withPermit { caller.call(address, HttpMethod.GET, "/inspect", null, probeMs) } ?: return null
-        return if (answer.status == 200) report(inspect.machine, answer) else null
+        val result = turns.withPermit { client.call(address, HttpMethod.GET, "/inspect", null, probeMs) }
+        return result.answerWith(200)?.let { report(inspect.machine, it) }
     }
 
-    private fun report(machine: MachineId, answer: Answer): Report? = try {
+    private fun report(machine: MachineId, answer: CallResult.Answered): Report? = try {
         WorkerWire.report(answer.body)
     } catch (e: Malformed) {
         log.error("a garbled report from machine {}: {}", machine, e.message)
