Incident: the fault reproduced, three tests that fail

Cause shown: a call that gives up while it waits for a connection (it times out, or its term ends) leaves the connection that comes later lent with nobody to return it. After four, each read and write of that process fails with "no connection in time".

--- /dev/null
+++ b/src/test/kotlin/cleathitch/http/PooledHttpClientTest.kt
@@ -0,0 +1,112 @@
+package cleathitch.http
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import io.vertx.core.Vertx
+import io.vertx.core.http.HttpMethod
+import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import kotlin.concurrent.thread
+
+/** A client whose calls give up at every stage: what the pool lent must come back. */
+class PooledHttpClientTest {
+    private val server = StubServer()
+    private val vertx = Vertx.vertx()
+    private val scope = CoroutineScope(vertx.dispatcher() + SupervisorJob())
+    private val meters = SimpleMeterRegistry()
+    private val client = PooledHttpClient(vertx, "test", connections = CONNECTIONS, connectMs = 5000, meters = meters)
+
+    @AfterEach
+    fun close() {
+        vertx.close()
+        server.close()
+    }
+
+    private fun call(path: String, timeoutMs: Long, to: Address = server.address) = scope.async {
+        client.call(to, HttpMethod.GET, path, null, timeoutMs)
+    }
+
+    private fun gauge(name: String) = meters.get(name).tag("client", "test").gauge().value().toInt()
+
+    private suspend fun until(what: String, condition: () -> Boolean) {
+        repeat(PATIENCE_MS / 10) {
+            if (condition()) return
+            delay(10)
+        }
+        throw AssertionError(
+            "$what: not within $PATIENCE_MS ms; lent ${gauge("http.client.lent")}, waiting ${gauge("http.client.waiting")}",
+        )
+    }
+
+    private suspend fun assertAllConnectionsFree() {
+        until("all connections free") { gauge("http.client.lent") == 0 && gauge("http.client.waiting") == 0 }
+        val calls = List(CONNECTIONS) { call(StubServer.AT_ONCE, timeoutMs = PATIENCE_MS.toLong()) }
+        calls.forEach { assertTrue(it.await() is CallResult.Answered) }
+    }
+
+    private suspend fun holdAllConnections() {
+        repeat(CONNECTIONS) { call(StubServer.HELD, timeoutMs = PATIENCE_MS.toLong()) }
+        until("all connections in use") { server.heldRequests == CONNECTIONS }
+    }
+
+    @Test
+    fun `a connection that comes free after its call gave up goes back to the pool`(): Unit = runBlocking {
+        holdAllConnections()
+        val late = List(CONNECTIONS) { call(StubServer.AT_ONCE, timeoutMs = 50) }
+        late.forEach { assertEquals(CallResult.Failed(CallFailure.NO_CONNECTION_IN_TIME), it.await()) }
+        server.release()
+        assertAllConnectionsFree()
+    }
+
+    /** As all calls of a term are when it ends. */
+    @Test
+    fun `a connection that comes free after its call was cancelled goes back to the pool`(): Unit = runBlocking {
+        holdAllConnections()
+        val cancelled = List(CONNECTIONS) { call(StubServer.AT_ONCE, timeoutMs = PATIENCE_MS.toLong()) }
+        until("all calls wait") { gauge("http.client.waiting") == CONNECTIONS }
+        cancelled.forEach { it.cancel() }
+        server.release()
+        assertAllConnectionsFree()
+    }
+
+    /** As behind a cut that holds packets: the connection opens when the first packet is sent again, a second later. */
+    @Test
+    fun `a connection that opens after its call gave up goes back to the pool`(): Unit = runBlocking {
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { listener ->
+            // With its queue full the kernel drops further packets that would open a connection.
+            val queued = List(2) { Socket(listener.inetAddress, listener.localPort) }
+            val to = Address("127.0.0.1", listener.localPort)
+            val late = List(CONNECTIONS) { call("/", timeoutMs = 100, to) }
+            late.forEach { assertEquals(CallResult.Failed(CallFailure.NO_CONNECTION_IN_TIME), it.await()) }
+            thread(isDaemon = true) { generateSequence { runCatching { listener.accept() }.getOrNull() }.forEach(::answerOnce) }
+            until("no connection is being opened") { gauge("http.client.waiting") == 0 }
+            val after = List(CONNECTIONS) { call("/", timeoutMs = PATIENCE_MS.toLong(), to) }
+            after.forEach { assertTrue(it.await() is CallResult.Answered) }
+            until("all connections free") { gauge("http.client.lent") == 0 }
+            queued.forEach { it.close() }
+        }
+    }
+
+    private fun answerOnce(socket: Socket) = thread(isDaemon = true) {
+        socket.use {
+            val reader = it.getInputStream().bufferedReader()
+            while ((reader.readLine() ?: return@thread).isNotEmpty()) Unit
+            it.getOutputStream().write("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n".toByteArray())
+        }
+    }
+
+    private companion object {
+        const val CONNECTIONS = 4
+        const val PATIENCE_MS = 10_000
+    }
+}
