Incident: a connection that comes after its call gave up goes back to the pool

Cause: the pool goes on to open or free a connection for a call that has given up, and lends it to nobody. The class of bug: something lent whose borrower may give up before it arrives, and which only the borrower gives back.

Change: ConnectionLoan receives what the pool gives, whether or not the call still waits, and gives it back on every path: timeout, cancellation, failure, late success.

--- a/src/main/kotlin/cleathitch/http/PooledHttpClient.kt
+++ b/src/main/kotlin/cleathitch/http/PooledHttpClient.kt
@@ -6,7 +6,6 @@
 import io.vertx.core.buffer.Buffer
 import io.vertx.core.http.HttpClient
 import io.vertx.core.http.HttpClientOptions
-import io.vertx.core.http.HttpClientRequest
 import io.vertx.core.http.HttpMethod
 import io.vertx.core.http.PoolOptions
 import io.vertx.core.http.RequestOptions
@@ -51,32 +50,28 @@
     }
 
     private suspend fun send(to: Address, method: HttpMethod, path: String, body: ByteArray?, timeoutMs: Long): CallResult {
-        var request: HttpClientRequest? = null
-        var complete = false
+        val loan = ConnectionLoan(clientMeters)
         try {
             val answer = withTimeoutOrNull(timeoutMs) {
                 val options = RequestOptions().setHost(to.host).setPort(to.port).setMethod(method).setURI(path)
                     .setConnectTimeout(connectMs.toLong())
-                clientMeters.asked()
-                val sent = client.request(options).onComplete { clientMeters.settled(it.succeeded()) }.coAwait()
-                request = sent
-                val response = (if (body == null) sent.send() else sent.send(Buffer.buffer(body))).coAwait()
+                val request = loan.obtain(client.request(options))
+                val response = (if (body == null) request.send() else request.send(Buffer.buffer(body))).coAwait()
                 val bytes = response.body().coAwait().bytes
-                complete = true
+                loan.answered()
                 CallResult.Answered(response.statusCode(), bytes)
             }
-            val stage = if (request == null) CallFailure.NO_CONNECTION_IN_TIME else CallFailure.NO_ANSWER_IN_TIME
+            val stage = if (loan.isLent) CallFailure.NO_ANSWER_IN_TIME else CallFailure.NO_CONNECTION_IN_TIME
             return answer ?: CallResult.Failed(stage)
         } catch (e: CancellationException) {
             throw e
         } catch (e: Exception) {
-            return CallResult.Failed(failureOf(e, request != null))
+            return CallResult.Failed(failureOf(e, loan.isLent))
         } finally {
-            if (request != null) clientMeters.returned()
-            // An answer that comes too late must not be taken for that of the connection's next request.
-            if (!complete) request?.reset()
+            loan.end()
         }
     }
+
     private fun failureOf(e: Exception, gotConnection: Boolean) = when {
         gotConnection -> CallFailure.CONNECTION_LOST
         e is TimeoutException -> CallFailure.NO_CONNECTION_IN_TIME
--- /dev/null
+++ b/src/test/kotlin/cleathitch/ConnectionLeakTest.kt
@@ -0,0 +1,118 @@
+package cleathitch
+
+import cleathitch.cloud.CallBudget
+import cleathitch.cloud.CloudClient
+import cleathitch.core.Effect
+import cleathitch.core.MachineId
+import cleathitch.http.StubServer
+import cleathitch.peers.PeerClient
+import cleathitch.state.StateClient
+import cleathitch.workers.WorkerClient
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import io.vertx.core.Vertx
+import io.vertx.kotlin.coroutines.dispatcher
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.joinAll
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.DynamicTest
+import org.junit.jupiter.api.TestFactory
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+
+/**
+ * Every client of a node through thousands of calls that time out or are cancelled while they wait for a connection, for
+ * the answer or for its end. Afterwards no connection is lent, and calls are answered again.
+ */
+class ConnectionLeakTest {
+    private val random = Random(SEED)
+    private val serverRandom = Random(SEED + 1)
+
+    @Volatile
+    private var troubled = true
+    private val server = StubServer { if (troubled) StubServer.TREATMENTS.random(serverRandom) else StubServer.AT_ONCE }
+    private val vertx = Vertx.vertx()
+    private val scope = CoroutineScope(vertx.dispatcher() + SupervisorJob())
+    private val meters = SimpleMeterRegistry()
+
+    private val state = StateClient(vertx, server.address, TIMEOUT_MS, meters = meters)
+    private val peers = PeerClient(vertx, meters)
+    private val workers = WorkerClient(vertx, TIMEOUT_MS, TIMEOUT_MS, atOnce = CALLS_AT_ONCE / 2, meters)
+    private val cloud = CloudClient(vertx, server.address, CallBudget(CLOUD_RPS, ::steadyMs), TIMEOUT_MS, WorkTimes(meters), meters)
+
+    private val calls: Map<String, suspend () -> Any?> = mapOf(
+        "state" to { state.extend(lease = 1) },
+        "state-watch" to { state.follow("x", since = 1, waitMs = 0) },
+        "peers" to { peers.ask(server.address, byteArrayOf(1), TIMEOUT_MS) },
+        "workers" to { workers.send(Effect.Inspect(MachineId("vm-000001"), server.address.toString())) },
+        "cloud" to { cloud.types() },
+    )
+
+    @AfterEach
+    fun close() {
+        vertx.close()
+        server.close()
+    }
+
+    @TestFactory
+    fun `no connection is lost by calls that give up`() = calls.map { (client, call) ->
+        DynamicTest.dynamicTest(client) { runBlocking { giveUpAndRecover(client, call) } }
+    }
+
+    private suspend fun giveUpAndRecover(client: String, call: suspend () -> Any?) {
+        troubled = true
+        repeat(CALLS / CALLS_AT_ONCE) {
+            val burst = List(CALLS_AT_ONCE) { scope.launch { call() } }
+            burst.filter { random.nextInt(3) == 0 }.forEach { cancelSoon(it) }
+            delay(random.nextLong(TIMEOUT_MS))
+            server.release()
+            burst.joinAll()
+        }
+        troubled = false
+        server.release()
+        until("$client: all connections free") { gauge(client, "lent") == 0 && gauge(client, "waiting") == 0 }
+        val answeredBefore = answered(client)
+        // On a busy machine an answer may take longer than such a call waits, so there may be more than one try.
+        until("$client: calls are answered") {
+            scope.launch { call() }
+            answered(client) > answeredBefore
+        }
+        until("$client: all connections free again") { gauge(client, "lent") == 0 && gauge(client, "waiting") == 0 }
+    }
+
+    private fun cancelSoon(call: Job) {
+        val afterMs = random.nextLong(TIMEOUT_MS)
+        scope.launch {
+            delay(afterMs)
+            call.cancel()
+        }
+    }
+
+    private fun gauge(client: String, name: String) = meters.get("http.client.$name").tag("client", client).gauge().value().toInt()
+
+    private fun answered(client: String) = meters.find("http.client.calls").tag("client", client).tag("outcome", "refused").counter()
+        ?.count()?.toInt() ?: 0
+
+    private suspend fun until(what: String, condition: () -> Boolean) {
+        val endMs = steadyMs() + PATIENCE_MS
+        while (!condition()) {
+            if (steadyMs() > endMs) throw AssertionError("$what: not within $PATIENCE_MS ms\n${Metrics.text(meters)}")
+            delay(10)
+        }
+    }
+
+    private companion object {
+        const val SEED = 23L
+        const val CALLS = 2400
+        const val CALLS_AT_ONCE = 24
+        const val TIMEOUT_MS = 20L
+        const val CLOUD_RPS = 100_000.0
+        const val PATIENCE_MS = 10_000L
+
+        fun steadyMs() = TimeUnit.NANOSECONDS.toMillis(System.nanoTime())
+    }
+}
--- a/src/test/kotlin/cleathitch/http/StubServer.kt
+++ b/src/test/kotlin/cleathitch/http/StubServer.kt
@@ -6,29 +6,37 @@
 import kotlinx.coroutines.runBlocking
 import java.util.concurrent.ConcurrentLinkedQueue
 
-/** An HTTP server on loopback whose answers a test holds back, cuts off or gives. It has an event loop of its own. */
-class StubServer : AutoCloseable {
+/**
+ * An HTTP server on loopback whose answers a test holds back, cuts off or gives. It has an event loop of its own. What
+ * happens to a request depends on its path, or on [choose] if that is given.
+ */
+class StubServer(private val choose: ((String) -> String)? = null) : AutoCloseable {
     private val vertx = Vertx.vertx()
     private val held = ConcurrentLinkedQueue<HttpServerRequest>()
 
-    /** What the server does with a request to a path. */
-    private val server = vertx.createHttpServer().requestHandler { request ->
-        when (request.path()) {
+    private val server = vertx.createHttpServer().requestHandler(::receive)
+    val address = Address("127.0.0.1", runBlocking { server.listen(0, "127.0.0.1").coAwait().actualPort() })
+
+    private fun receive(request: HttpServerRequest) {
+        when (choose?.invoke(request.path()) ?: request.path()) {
             HELD -> held += request
-            LATE -> vertx.setTimer(LATE_MS) { request.response().end() }
+            LATE -> vertx.setTimer(LATE_MS) { answer(request) }
             RESET -> request.connection().close()
             CUT_OFF -> request.response().putHeader("Content-Length", "10").write("part").onComplete { request.connection().close() }
-            else -> request.response().end("ok")
+            else -> answer(request)
         }
     }
-    val address = Address("127.0.0.1", runBlocking { server.listen(0, "127.0.0.1").coAwait().actualPort() })
+
+    private fun answer(request: HttpServerRequest) {
+        if (!request.response().closed()) request.response().setStatusCode(STATUS).end()
+    }
 
     /** How many requests wait for [release]. */
     val heldRequests get() = held.size
 
     /** Answers what was held back. */
     fun release() {
-        while (true) (held.poll() ?: return).response().end("late")
+        while (true) answer(held.poll() ?: return)
     }
 
     override fun close() {
@@ -41,6 +49,10 @@
         const val LATE = "/late"
         const val RESET = "/reset"
         const val CUT_OFF = "/cut-off"
+        val TREATMENTS = listOf(AT_ONCE, HELD, LATE, RESET, CUT_OFF)
+
+        /** Of all answers: none of the clients takes one with it for garbled. */
+        const val STATUS = 503
         private const val LATE_MS = 15L
     }
 }
