Incident, second fault reproduced: an end told before its record is written

If the leader ends before the transaction is carried out, its successor says "queued". Class of bug: an answer before its write; a right to tell that memory grants before the record does.

--- a/src/test/kotlin/cleathitch/core/RulesTest.kt
+++ b/src/test/kotlin/cleathitch/core/RulesTest.kt
@@ -23,6 +23,7 @@
         "outages and leaders that change" to Weather(held = 0.02, outageS = 25.0, killS = 12.0, cancelNowS = 30.0, quick = true),
         "machines that reach nobody, or hear nothing" to Weather(muteS = 30.0, deafManyS = 40.0, killS = 30.0, cancelNowS = 40.0),
         "users who change their minds" to Weather(cancelAtEnd = 0.5, oddS = 2.0, cancelNowS = 30.0, killS = 20.0, hangS = 20.0),
+        "leaders that end before they archive" to Weather(endsAtArchive = 0.3, trimS = 0.2, shortTasks = true, cancelAtEnd = 0.2),
         "all nodes away" to Weather(held = 0.02, copied = 0.1, awayS = 50.0, cancelNowS = 40.0),
         "the gap" to Weather(gapAtS = 30.0),
         "the gap, with held messages and hanging machines" to Weather(held = 0.03, copied = 0.05, hangS = 20.0, gapAtS = 30.0),
--- a/src/test/kotlin/cleathitch/core/World.kt
+++ b/src/test/kotlin/cleathitch/core/World.kt
@@ -47,6 +47,12 @@
     val awayS: Double = 0.0,
     /** When the state service refuses the leader alone, its successor confirms cancellations, and then it is out beyond `cancelS`. */
     val gapAtS: Double = 0.0,
+    /** Share of commits that archive jobs and are never carried out: their leader ends within a lease. */
+    val endsAtArchive: Double = 0.0,
+    /** Seconds between trims, if not the usual. */
+    val trimS: Double? = null,
+    /** Tasks end within a report period, so that the first that is heard of most is their end. */
+    val shortTasks: Boolean = false,
 )
 
 /**
@@ -66,7 +72,7 @@
     val broken = ArrayList<String>()
     val trace = ArrayList<String>()
 
-    private val tuning = Tuning.of(deployment)
+    private val tuning = Tuning.of(deployment, weather.trimS)
     private val type = MachineType("m4", 4.0, 0.0, 16.0, 50.0, 1.0, 1.0, 0.4, 5.0, deployment.zones)
 
     fun after(ms: Long, action: () -> Unit) {
@@ -322,7 +328,12 @@
                 after(300, ::attempt)
             }
             inFlight = commit
-            attempt()
+            val archives = commit.changes.any { it.key.startsWith(Journal.FINALS_PREFIX) }
+            if (!calm && archives && random.nextDouble() < weather.endsAtArchive) {
+                after(random.nextLong(TTL_MS)) { if (term == mine && inFlight === commit) kill() }
+            } else {
+                attempt()
+            }
         }
 
         private fun direct(id: MachineId, deliver: (Worker) -> Report?) {
@@ -528,7 +539,7 @@
                         } else if (known) {
                             0
                         } else {
-                            random.nextLong(2000, 15_000)
+                            if (weather.shortTasks) random.nextLong(100, 1500) else random.nextLong(2000, 15_000)
                         }
                         tasks[order.attempt] = Running(order.attempt, TaskState.FETCHING, image, runs?.let { image + it })
                         started(order.attempt.task, this)
@@ -606,6 +617,8 @@
     private fun ended(id: JobId) {
         val known = submitted.getValue(id)
         if ((0 until known.spec.tasks).any { TaskId(id, it) !in results }) return
+        // What is told in the moments round an end is what a successor may deny.
+        if (weather.endsAtArchive > 0) repeat(40) { after(random.nextLong(4 * TTL_MS)) { request(known, { Command.Poll(it, id) }) } }
         if (random.nextDouble() < weather.cancelAtEnd) after(random.nextLong(200)) { abort(id) }
     }
 
