Incident, second fault: a trim takes effect when it is committed, not when it is built

Nothing that next() builds is visible to answers before that. A record is no longer put and deleted by one and the same transaction.

--- a/src/main/kotlin/cleathitch/core/Engine.kt
+++ b/src/main/kotlin/cleathitch/core/Engine.kt
@@ -231,7 +231,7 @@
     }
 
     private fun committed(command: Command.Committed) {
-        journal.committed(command.seq)
+        journal.committed(command.seq, ledger)
         writeSinceMs = null
         version = maxOf(version, OrderVersion.first(command.revision))
         while (toStop.isNotEmpty() && toStop.firstKey() <= journal.committed) {
--- a/src/main/kotlin/cleathitch/core/Journal.kt
+++ b/src/main/kotlin/cleathitch/core/Journal.kt
@@ -1,7 +1,6 @@
 package cleathitch.core
 
 import java.util.TreeMap
-import kotlin.math.ceil
 
 /** A change to the state service; keys are relative to the deployment's own prefix. */
 sealed interface Change {
@@ -40,27 +39,19 @@
         var bytes = 0
     }
 
-    private class Kept(record: List<Event>) {
-        val cells = record.mapTo(HashSet(), ::cellOf)
-
-        /** Starts that no report has shown yet, as far as was looked. */
-        val starts = record.filterIsInstance<Event.AttemptStarted>()
-            .mapTo(ArrayList()) { AttemptId(TaskId(it.job, it.index), it.number) }
-    }
+    /** A transaction under way, and what becomes true in memory once it is committed, not before. */
+    private class InFlight(val seq: Seq, val written: Map<Seq, StoredRecord>, val trim: TrimPlan?)
 
     private val queue = ArrayDeque<Building>()
-    private var inFlight: Commit? = null
+    private var inFlight: InFlight? = null
     private var last = Seq.NONE
     var committed = Seq.NONE
         private set
 
     /** Records in the state service, each with the cells that it touches. */
-    private val kept = TreeMap<Seq, Kept>()
+    private val kept = TreeMap<Seq, StoredRecord>()
     private val foldedUpTo = HashMap<String, Seq>()
-    private val finalsDone = ArrayList<JobId>()
-    private val finalsCancelled = ArrayList<JobId>()
-    private var finalsChunk = 0L
-    private var finalsBytes = 0
+    private var finals = FinalsChunk.FIRST
 
     val idle get() = inFlight == null
     val pending get() = queue.isNotEmpty()
@@ -101,14 +92,9 @@
     fun restore(head: Seq, records: List<Pair<Seq, Record>>, finals: List<Pair<Long, FinalsCell>>, folded: Map<String, Seq>) {
         last = head
         committed = head
-        records.forEach { (seq, record) -> kept[seq] = Kept(record.events) }
+        records.forEach { (seq, record) -> kept[seq] = StoredRecord(record.events) }
         foldedUpTo.putAll(folded)
-        finals.maxByOrNull { it.first }?.let { (chunk, cell) ->
-            finalsChunk = chunk
-            finalsDone += cell.done
-            finalsCancelled += cell.cancelled
-            finalsBytes = (cell.done + cell.cancelled).sumOf { it.text.length + ID_OVERHEAD }
-        }
+        finals.maxByOrNull { it.first }?.let { (number, cell) -> this.finals = FinalsChunk(number, cell.done, cell.cancelled) }
     }
 
     /** The next transaction, if none is under way and there is something to write; trims with up to [trimChanges]. */
@@ -128,90 +114,48 @@
         val seq = records.lastOrNull()?.seq ?: last.next().also { last = it }
         val changes = ArrayList<Change>()
         changes += Change.Put(HEAD, Stored.Head(seq, term))
-        for (record in records) {
-            changes += Change.Put(recordKey(record.seq), Stored.OfRecord(Record(record.events.toList())))
-            kept[record.seq] = Kept(record.events)
-        }
+        records.mapTo(changes) { Change.Put(recordKey(it.seq), Stored.OfRecord(Record(it.events.toList()))) }
         // The state in memory is the state after this record only if no later one is waiting.
-        trimCutShort = trimChanges > 0
-        if (trimChanges > 0 && queue.isEmpty()) trim(seq, ledger, fleetCell, changes, changes.size + trimChanges)
-        return Commit(seq, changes).also { inFlight = it }
+        val mayTrim = trimChanges > 0 && queue.isEmpty()
+        val trim = if (mayTrim) planTrim(seq, ledger, fleetCell, changes.size, trimChanges) else null
+        trimCutShort = trim?.cutShort ?: (trimChanges > 0)
+        trim?.let { changes += it.changes() }
+        inFlight = InFlight(seq, records.associate { it.seq to StoredRecord(it.events) }, trim)
+        return Commit(seq, changes)
     }
 
-    fun committed(seq: Seq) {
-        check(inFlight?.seq == seq) { "commit ${inFlight?.seq} was under way, not $seq" }
-        inFlight = null
-        committed = seq
+    private fun planTrim(seq: Seq, ledger: Ledger, fleetCell: (Seq) -> FleetCell, changes: Int, trimChanges: Int): TrimPlan {
+        val limits = TrimPlan.Limits(
+            changes = trimChanges,
+            bytes = TXN_BYTES * TXN_FILL,
+            valueBytes = deployment.stateValueBytes * RECORD_FILL,
+            finalsBytes = deployment.stateValueBytes * FINALS_FILL,
+        )
+        return TrimPlan(seq, limits, ledger, sizes, fleetCell, foldedUpTo, finals).also { plan ->
+            // A record of this very transaction stays.
+            kept.headMap(seq).forEach { (record, content) -> if (!plan.cutShort) plan.take(record, content) }
+        }
     }
 
-    private fun trim(seq: Seq, ledger: Ledger, fleetCell: (Seq) -> FleetCell, changes: MutableList<Change>, opLimit: Int) {
-        trimCutShort = false
-        var bytes = 0
-        val byteLimit = TXN_BYTES * TXN_FILL
-        val finished = ArrayList<Job>()
-        records@ for ((record, content) in kept.entries.toList()) {
-            if (record == seq) break
-            // As the design asks: a start stays on record until a report has shown it.
-            content.starts.removeIf { id -> ledger.attempt(id)?.let { it.seen != null } ?: true }
-            if (content.starts.isNotEmpty()) continue
-            for (cell in content.cells) {
-                if ((foldedUpTo[cell] ?: Seq.NONE) >= record) continue
-                if (changes.size >= opLimit || bytes >= byteLimit) {
-                    trimCutShort = true
-                    break@records
-                }
-                if (cell == FLEET) {
-                    changes += Change.Put(FLEET, Stored.OfFleet(fleetCell(seq)))
-                } else {
-                    val job = ledger.job(JobId(cell.removePrefix(JOB_PREFIX)))
-                    if (job == null) {
-                        foldedUpTo[cell] = seq // archived by an earlier trim
-                        continue
-                    }
-                    if (job.over && job.live.isEmpty()) {
-                        finished += job
-                        repeat(job.partsWritten) { changes += Change.Delete("${jobKey(job.id)}/$it") }
-                        bytes += job.id.text.length + ID_OVERHEAD
-                    } else {
-                        val stored = ledger.cellOf(job, seq)
-                        val size = sizes.of(stored)
-                        if (bytes > 0 && bytes + size > byteLimit) {
-                            trimCutShort = true
-                            break@records
-                        }
-                        bytes += size
-                        val parts = ceil(size / (deployment.stateValueBytes * RECORD_FILL)).toInt()
-                        job.partsWritten = maxOf(job.partsWritten, parts)
-                        changes += Change.Put(jobKey(job.id), Stored.OfJob(stored), job.partsWritten)
-                    }
-                }
-                foldedUpTo[cell] = seq
-            }
-            if (changes.size >= opLimit) {
-                trimCutShort = true
-                break
-            }
-            kept.remove(record)
-            changes += Change.Delete(recordKey(record))
-        }
-        archive(finished, ledger, changes)
+    /** The transaction under way was carried out: what it folds, archives and deletes takes effect now. */
+    fun committed(seq: Seq, ledger: Ledger) {
+        val done = inFlight
+        check(done?.seq == seq) { "commit ${done?.seq} was under way, not $seq" }
+        inFlight = null
+        committed = seq
+        kept += done.written
+        done.trim?.let { applyTrim(it, ledger) }
     }
 
-    private fun archive(finished: List<Job>, ledger: Ledger, changes: MutableList<Change>) {
-        if (finished.isEmpty()) return
-        if (finalsBytes > deployment.stateValueBytes * FINALS_FILL) {
-            finalsChunk++
-            finalsBytes = 0
-            finalsDone.clear()
-            finalsCancelled.clear()
-        }
-        for (job in finished) {
-            (if (job.cancelled) finalsCancelled else finalsDone) += job.id
-            finalsBytes += job.id.text.length + ID_OVERHEAD
+    private fun applyTrim(trim: TrimPlan, ledger: Ledger) {
+        trim.deletedRecords.forEach(kept::remove)
+        foldedUpTo += trim.folded
+        trim.partsWritten.forEach { (job, parts) -> job.partsWritten = parts }
+        finals = trim.finals
+        for (job in trim.archived) {
             ledger.archive(job)
             foldedUpTo.remove(JOB_PREFIX + job.id.text)
         }
-        changes += Change.Put(finalsKey(finalsChunk), Stored.Finals(FinalsCell(finalsDone.toList(), finalsCancelled.toList())))
     }
 
     companion object {
@@ -228,13 +172,13 @@
         /** The page's limit for a transaction, and how much of it a trim may take. */
         private const val TXN_BYTES = 65_536
         private const val TXN_FILL = 0.4
-        private const val ID_OVERHEAD = 4
 
         fun recordKey(seq: Seq) = RECORD_PREFIX + seq.number.toString().padStart(19, '0')
         fun jobKey(job: JobId) = JOB_PREFIX + job.text
         fun finalsKey(chunk: Long) = FINALS_PREFIX + chunk.toString().padStart(19, '0')
 
-        private fun cellOf(event: Event): String = when (event) {
+        /** The cell that an event changes. */
+        fun cellOf(event: Event): String = when (event) {
             is Event.OfJob -> JOB_PREFIX + event.job.text
             is Event.OfFleet -> FLEET
         }
