A batch that fails keeps nobody waiting, and doesn't end a follower's hand-over

Cause: the same class as the incident's: those who wait for a batch's outcome depend on one coroutine. An exception in sending or decoding would have ended it for good, and with it every later answer of that follower to workers and polls.

Change: such a batch counts as unanswered, is logged with its cause, and the next one is sent. LeaderBatchesTest has that, polls that come before and during a batch, and polls that are cancelled; FrontTest counts 2,000 connections that end at any moment.

Not a fault: PollQueue.sent, since one batch is under way at a time; the server's count of connections.

--- a/src/main/kotlin/cleathitch/peers/LeaderBatches.kt
+++ b/src/main/kotlin/cleathitch/peers/LeaderBatches.kt
@@ -6,9 +6,11 @@
 import cleathitch.core.UserReply
 import cleathitch.workers.ForwardOutcome
 import cleathitch.workers.ReportQueue
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
+import org.slf4j.LoggerFactory
 
 /** The leader as a follower knows it. */
 data class KnownLeader(val member: String, val term: Long)
@@ -91,7 +93,7 @@
         val batch = OutgoingBatch(reports.nextBatch(known.term, nowMs()), polls.take(MOST_POLLS), takeResults(known.term))
         if (batch.reports.isEmpty && batch.polls.isEmpty() && batch.directResults.isEmpty()) return
         val timeoutMs = reports.timeLeftMs(batch.reports, nowMs())
-        val result = send(known, batch, timeoutMs)
+        val result = sendSafely(known, batch, timeoutMs)
         unreachableSinceMs = if (result is BatchResult.Unreachable) nowMs() else null
         val currentTerm = leader()?.term
         when (result) {
@@ -106,6 +108,16 @@
         }
     }
 
+    /** Whatever goes wrong with one batch, those who wait for it get their answer, and the next one is sent. */
+    private suspend fun sendSafely(known: KnownLeader, batch: OutgoingBatch, timeoutMs: Long): BatchResult = try {
+        send(known, batch, timeoutMs)
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: RuntimeException) {
+        log.error("the batch for {} in term {} failed", known.member, known.term, e)
+        BatchResult.NotLeading
+    }
+
     /** Results of commands of earlier terms mean nothing to the present leader. */
     private fun takeResults(term: Long): List<DirectResult> {
         val taken = List(minOf(directResults.size, MOST_RESULTS_PER_BATCH)) { directResults.removeFirst() }
@@ -119,6 +131,8 @@
     }
 
     private companion object {
+        val log = LoggerFactory.getLogger("cleathitch.peers")
+
         /** Workers wait 4 s for an answer; the rest of that is for the ways to this node and back. */
         const val REPORT_WITHIN_MS = 3000L
 
--- a/src/test/kotlin/cleathitch/http/FrontTest.kt
+++ b/src/test/kotlin/cleathitch/http/FrontTest.kt
@@ -12,6 +12,7 @@
 import java.io.IOException
 import java.net.Socket
 import java.net.SocketTimeoutException
+import kotlin.random.Random
 
 /** A real server on loopback, at the limit of its connections. */
 class FrontTest {
@@ -83,4 +84,30 @@
         assertEquals(true, answer.startsWith("http/1.1 503") && "connection: close" in answer)
         assertTrue(socket.ended())
     }
+
+    /** Connections that are reset before, in and after a request are all counted out, so that the room isn't used up. */
+    @Test
+    fun `however connections end, none stays counted`() {
+        val random = Random(SEED)
+        repeat(ENDED) {
+            val socket = open()
+            val request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+            runCatching {
+                socket.getOutputStream().write(request.take(random.nextInt(request.length + 1)).toByteArray())
+                if (random.nextBoolean()) socket.setSoLinger(true, 0)
+                if (random.nextBoolean()) Thread.sleep(1)
+            }
+            socket.close()
+        }
+        val endMs = System.currentTimeMillis() + PATIENCE_MS
+        while (room.open > 0 && System.currentTimeMillis() < endMs) Thread.sleep(10)
+        assertEquals(0, room.open)
+        assertTrue(open().ask() != null)
+    }
+
+    private companion object {
+        const val SEED = 23
+        const val ENDED = 2000
+        const val PATIENCE_MS = 10_000L
+    }
 }
--- /dev/null
+++ b/src/test/kotlin/cleathitch/peers/LeaderBatchesTest.kt
@@ -0,0 +1,100 @@
+package cleathitch.peers
+
+import cleathitch.core.JobId
+import cleathitch.core.MachineId
+import cleathitch.core.OrderVersion
+import cleathitch.core.Report
+import cleathitch.core.ShownState
+import cleathitch.core.UserReply
+import cleathitch.workers.ForwardOutcome
+import kotlinx.coroutines.async
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Test
+
+/** Those who wait for a follower's batch get an answer, whatever becomes of it. */
+class LeaderBatchesTest {
+    private val job = JobId("j-000001")
+    private val done = UserReply.Status(job, ShownState.DONE, 1, 0)
+    private val report =
+        Report(MachineId("vm-000001"), "10.0.0.1:9000", "m4", "a", false, 1, 7, OrderVersion.first(9), null, emptyList())
+    private var leader: KnownLeader? = KnownLeader("n1", 9)
+    private var send: suspend (OutgoingBatch) -> BatchResult = { answered(it) }
+    private val batches = LeaderBatches(intervalMs = 1, unreachableMs = 1000, ::nowMs, { leader }, { _, batch, _ -> send(batch) })
+
+    private fun nowMs() = System.nanoTime() / 1_000_000
+
+    private fun answered(batch: OutgoingBatch) = BatchResult.Answered(emptyList(), batch.polls.map { done })
+
+    private fun whileRunning(test: suspend () -> Unit) = runBlocking {
+        val running = launch { batches.run() }
+        withTimeout(PATIENCE_MS) { test() }
+        running.cancelAndJoin()
+    }
+
+    @Test
+    fun `a batch that fails is unanswered, and the next one is sent`() = whileRunning {
+        send = { throw IllegalArgumentException("garbled") }
+        coroutineScope {
+            val status = async { batches.status(job) }
+            val outcome = async { batches.decide(report) }
+            assertNull(status.await())
+            assertEquals(ForwardOutcome.Unanswered, outcome.await())
+        }
+        send = { answered(it) }
+        assertEquals(done, batches.status(job))
+    }
+
+    @Test
+    fun `without a leader everything that waits is refused at once`() = whileRunning {
+        leader = null
+        assertNull(batches.status(job))
+        assertEquals(ForwardOutcome.Unanswered, batches.decide(report))
+    }
+
+    /** One batch is under way at a time, so those who ask meanwhile neither take nor lose the place of those who asked before. */
+    @Test
+    fun `polls for one job that come before and while a batch is under way all get an answer`() = whileRunning {
+        send = {
+            delay(BATCH_MS)
+            answered(it)
+        }
+        coroutineScope {
+            val polls = List(POLLS) { number ->
+                async {
+                    delay(number.toLong())
+                    batches.status(job)
+                }
+            }
+            polls.forEach { assertEquals(done, it.await()) }
+        }
+    }
+
+    /** As users do who give up. */
+    @Test
+    fun `polls that are cancelled take no answer from others`() = whileRunning {
+        send = {
+            delay(BATCH_MS)
+            answered(it)
+        }
+        coroutineScope {
+            val polls = List(POLLS) { async { batches.status(job) } }
+            delay(BATCH_MS / 2)
+            polls.filterIndexed { number, _ -> number % 2 == 0 }.forEach { it.cancel() }
+            polls.filterIndexed { number, _ -> number % 2 == 1 }.forEach { assertEquals(done, it.await()) }
+        }
+        assertEquals(done, batches.status(job))
+    }
+
+    private companion object {
+        const val PATIENCE_MS = 20_000L
+        const val BATCH_MS = 20L
+        const val POLLS = 50
+    }
+}
