--- a/src/main/kotlin/cleathitch/App.kt
+++ b/src/main/kotlin/cleathitch/App.kt
@@ -5,8 +5,8 @@
 import cleathitch.config.OperatorSettings
 import cleathitch.config.Settings
 import cleathitch.core.Tuning
-import cleathitch.http.Connections
-import cleathitch.http.Front
+import cleathitch.http.ConnectionLimit
+import cleathitch.http.HttpEndpoint
 import cleathitch.peers.PeerClient
 import cleathitch.peers.PeerCodec
 import cleathitch.protocol.HttpReply
@@ -77,14 +77,14 @@
         val node = Node(settings, services, state, leadership, leaseScope, PeerClient(vertx, meters), scope)
         val peerSockets = settings.peers.size * PeerClient.CONNECTIONS
         val ours = direct + peerSockets + OTHER_SOCKETS
-        val internalRoom = Connections(peerSockets + OTHER_SOCKETS)
-        val room = Connections(maxOf(settings.maxSockets / 2, settings.maxSockets - ours - internalRoom.most))
+        val internalRoom = ConnectionLimit(peerSockets + OTHER_SOCKETS)
+        val room = ConnectionLimit(maxOf(settings.maxSockets / 2, settings.maxSockets - ours - internalRoom.most))
         scope.launch {
-            Front(vertx, scope, PeerClient.MOST_BODY, idleS, internalRoom) { method, path, body ->
+            HttpEndpoint(vertx, scope, PeerClient.MOST_BODY, idleS, internalRoom) { method, path, body ->
                 internal(node, method, path, body)
             }.listen(settings.internalAddr)
             node.start()
-            Front(vertx, scope, Wire.MAX_BODY, idleS, room, node::front).listen(settings.bind)
+            HttpEndpoint(vertx, scope, Wire.MAX_BODY, idleS, room, node::front).listen(settings.bind)
             log.info("node {} listens on {} and {}", settings.member, settings.bind, settings.internalAddr)
         }
     }
--- a/src/main/kotlin/cleathitch/Node.kt
+++ b/src/main/kotlin/cleathitch/Node.kt
@@ -22,7 +22,9 @@
 import cleathitch.peers.PeerCodec
 import cleathitch.peers.PeerReply
 import cleathitch.peers.PeerRequest
+import cleathitch.peers.PeerResult
 import cleathitch.peers.StatusMessage
+import cleathitch.peers.reply
 import cleathitch.protocol.HttpReply
 import cleathitch.protocol.Malformed
 import cleathitch.protocol.UserWire
@@ -152,7 +154,7 @@
 
         override suspend fun toFollower(follower: String, commands: List<DirectMessage>): Boolean {
             val address = peerAddresses[follower] ?: return false
-            return peers.ask(address, PeerRequest.Deliver(settings.member, term.revision, commands), leaseMs)?.status == 200
+            return peers.ask(address, PeerRequest.Deliver(settings.member, term.revision, commands), leaseMs).reply?.status == 200
         }
 
         override suspend fun toWorker(command: Effect.ToWorker) = services.workers.send(command)
@@ -204,9 +206,8 @@
             if (mine != null && mine.ready) {
                 for (peer in settings.peers.filter { needsWord(it.member) }) {
                     scope.launch {
-                        val reply =
-                            peers.ask(peer.addr, PeerRequest.Leads(settings.member, settings.member, mine.term.revision), leaseMs / 3)
-                                ?: return@launch
+                        val word = PeerRequest.Leads(settings.member, settings.member, mine.term.revision)
+                        val reply = peers.ask(peer.addr, word, leaseMs / 3).reply ?: return@launch
                         peerHeardMs[peer.member] = clocks.steadyMs()
                         if (reply.term > mine.term.revision) depose(mine.term, "${peer.member} knows term ${reply.term}")
                     }
@@ -273,7 +274,7 @@
         if (polled != null) return poll(polled)
         val address = leader?.let(peerAddresses::get)
         if (!forwarded && address != null) {
-            val reply = peers.ask(address, PeerRequest.User(method, path, body), FORWARD_MS)
+            val reply = peers.ask(address, PeerRequest.User(method, path, body), FORWARD_MS).reply
             if (reply != null) return HttpReply(reply.status, reply.body, reply.retryAfterS)
         }
         return UserWire.elsewhere("no way to the leader")
@@ -341,27 +342,26 @@
 
     private suspend fun sendBatch(to: KnownLeader, batch: OutgoingBatch, timeoutMs: Long): BatchResult {
         val address = peerAddresses[to.member] ?: return BatchResult.NotLeading
-        val sentMs = clocks.steadyMs()
         val encoded = services.workTimes.measure(WorkPart.BATCH_ENCODING) {
             PeerCodec.encode(PeerRequest.Batch.of(settings.member, batch))
         }
-        val reply = peers.ask(address, encoded, timeoutMs)
-        val decisions = reply?.decisions
-        val statuses = reply?.statuses
-        if (decisions != null && statuses != null) {
-            heard(to.member, to.term)
-            return BatchResult.Answered(
-                decisions.map { it.toDecision() },
-                batch.polls.zip(statuses) { job, status -> status.toReply(job) },
-            )
-        }
-        return when {
-            reply != null -> BatchResult.NotLeading
-            clocks.steadyMs() - sentMs < timeoutMs -> BatchResult.Unreachable
-            else -> BatchResult.TimedOut
+        return when (val result = peers.ask(address, encoded, timeoutMs)) {
+            is PeerResult.Answered -> decisionsOf(to, batch, result.reply)
+            PeerResult.Unreachable -> BatchResult.Unreachable
+            PeerResult.TimedOut -> BatchResult.TimedOut
         }
     }
 
+    private fun decisionsOf(to: KnownLeader, batch: OutgoingBatch, reply: PeerReply): BatchResult {
+        val decisions = reply.decisions ?: return BatchResult.NotLeading
+        val statuses = reply.statuses ?: return BatchResult.NotLeading
+        heard(to.member, to.term)
+        return BatchResult.Answered(
+            decisions.map { it.toDecision() },
+            batch.polls.zip(statuses) { job, status -> status.toReply(job) },
+        )
+    }
+
     private suspend fun decide(request: PeerRequest.Batch): PeerReply {
         leading?.let { if (it.term.revision < request.term) depose(it.term, "${request.from} knows term ${request.term}") }
         val mine = leading?.takeIf { it.term.revision == request.term && it.ready }
--- a/src/main/kotlin/cleathitch/cli/Rehearsal.kt
+++ b/src/main/kotlin/cleathitch/cli/ClassArchiveTraining.kt
@@ -7,12 +7,13 @@
 import cleathitch.core.OrderVersion
 import cleathitch.core.Report
 import cleathitch.http.Address
-import cleathitch.http.Connections
-import cleathitch.http.Front
+import cleathitch.http.ConnectionLimit
+import cleathitch.http.HttpEndpoint
 import cleathitch.http.PooledHttpClient
 import cleathitch.peers.OutgoingBatch
 import cleathitch.peers.PeerClient
 import cleathitch.peers.PeerRequest
+import cleathitch.peers.reply
 import cleathitch.protocol.HttpReply
 import cleathitch.protocol.Wire
 import cleathitch.workers.ReportQueue
@@ -34,17 +35,17 @@
  * it so that the JVM can archive the classes that a controller needs: on a third of a core, loading
  * them anew takes a controller seconds after each restart.
  */
-@Command(name = "rehearse", hidden = true, description = ["Loads what a controller needs, for the build's class archive."])
-class Rehearsal : Runnable {
+@Command(name = "train-class-archive", hidden = true, description = ["Loads what a controller needs, for the build's class archive."])
+class ClassArchiveTraining : Runnable {
     private val vertx = Vertx.vertx()
-    private val client = PooledHttpClient(vertx, "rehearsal", connections = 4)
+    private val client = PooledHttpClient(vertx, "class-archive-training", connections = 4)
     private var revision = 1L
     private var leaderTerm = 0L
 
     override fun run() {
         val scope = CoroutineScope(vertx.dispatcher() + SupervisorJob())
         scope.launch {
-            val platform = Front(vertx, scope, Wire.MAX_BODY, idleS = 60, Connections(most = 100)) { method, path, _ ->
+            val platform = HttpEndpoint(vertx, scope, Wire.MAX_BODY, idleS = 60, ConnectionLimit(most = 100)) { method, path, _ ->
                 platform(method, path)
             }
                 .listen(Address("127.0.0.1", 0))
@@ -76,7 +77,7 @@
         queue.add(report, nowMs = 0) {}
         val batch = queue.nextBatch(leaderTerm, nowMs = 0)
         val outgoing = OutgoingBatch(batch, listOf(JobId("j-000001")), emptyList())
-        val reply = peers.ask(node, PeerRequest.Batch.of("n1", outgoing), timeoutMs = 1000) ?: return
+        val reply = peers.ask(node, PeerRequest.Batch.of("n1", outgoing), timeoutMs = 1000).reply ?: return
         leaderTerm = reply.term
         queue.decided(batch, reply.decisions.orEmpty().map { it.toDecision() }, reply.term, nowMs = 0)
     }
--- a/src/main/kotlin/cleathitch/cli/Main.kt
+++ b/src/main/kotlin/cleathitch/cli/Main.kt
@@ -17,7 +17,7 @@
     description = ["A cluster scheduler that keeps its state in a small consistent store."],
     mixinStandardHelpOptions = true,
     versionProvider = Version::class,
-    subcommands = [Serve::class, CheckConfig::class, Rehearsal::class],
+    subcommands = [Serve::class, CheckConfig::class, ClassArchiveTraining::class],
 )
 class Main : Runnable {
     override fun run() = throw CommandLine.ParameterException(CommandLine(this), "a command is missing: serve or check-config")
--- a/src/main/kotlin/cleathitch/http/Front.kt
+++ b/src/main/kotlin/cleathitch/http/HttpEndpoint.kt
@@ -18,7 +18,7 @@
  * Past [kept] each answer ends its connection, so those who come again make room for each other; past [most]
  * a new one is closed at once, and whoever it was tries another node.
  */
-class Connections(val most: Int) {
+class ConnectionLimit(val most: Int) {
     private val kept = most - most / SPARE_PART
     var open = 0
         private set
@@ -42,13 +42,13 @@
 }
 
 /** One HTTP server that hands whole requests to a handler. */
-class Front(
+class HttpEndpoint(
     private val vertx: Vertx,
     private val scope: CoroutineScope,
     private val maxBody: Int,
     /** A machine that is gone leaves its connection behind; without an end to idle ones they use up the sockets. */
     private val idleS: Int,
-    private val room: Connections,
+    private val room: ConnectionLimit,
     private val handle: suspend (method: String, path: String, body: ByteArray) -> HttpReply,
 ) {
     /** Starts listening and tells the port. */
--- a/src/main/kotlin/cleathitch/peers/PeerClient.kt
+++ b/src/main/kotlin/cleathitch/peers/PeerClient.kt
@@ -1,8 +1,9 @@
 package cleathitch.peers
 
 import cleathitch.http.Address
+import cleathitch.http.CallFailure
+import cleathitch.http.CallResult
 import cleathitch.http.PooledHttpClient
-import cleathitch.http.answerWith
 import cleathitch.protocol.Wire
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
@@ -11,21 +12,39 @@
 import kotlinx.serialization.SerializationException
 import org.slf4j.LoggerFactory
 
-/** Asks other nodes; null is no answer. */
+/** The outcome of a request to another node. */
+sealed interface PeerResult {
+    class Answered(val reply: PeerReply) : PeerResult
+
+    /** The connection failed, or what came over it isn't an answer of a node. */
+    data object Unreachable : PeerResult
+    data object TimedOut : PeerResult
+}
+
+/** The answer, if there is one. */
+val PeerResult.reply get() = (this as? PeerResult.Answered)?.reply
+
+/** Asks other nodes. */
 class PeerClient(vertx: Vertx, meters: MeterRegistry = SimpleMeterRegistry()) {
     private val client = PooledHttpClient(vertx, "peers", connections = CONNECTIONS, connectMs = 500, meters = meters)
 
-    suspend fun ask(peer: Address, request: PeerRequest, timeoutMs: Long): PeerReply? = ask(peer, PeerCodec.encode(request), timeoutMs)
+    suspend fun ask(peer: Address, request: PeerRequest, timeoutMs: Long): PeerResult = ask(peer, PeerCodec.encode(request), timeoutMs)
 
     /** Sends an encoded request, so that one that goes to several peers is encoded once. */
-    suspend fun ask(peer: Address, encoded: ByteArray, timeoutMs: Long): PeerReply? {
-        val answer = client.call(peer, HttpMethod.POST, PATH, encoded, timeoutMs).answerWith(200) ?: return null
-        return try {
-            PeerCodec.decodeReply(answer.body)
-        } catch (e: SerializationException) {
-            log.error("a garbled answer from peer {}: {}", peer, e.message)
-            null
+    suspend fun ask(peer: Address, encoded: ByteArray, timeoutMs: Long): PeerResult =
+        when (val result = client.call(peer, HttpMethod.POST, PATH, encoded, timeoutMs)) {
+            is CallResult.Answered -> if (result.status == 200) decoded(peer, result) else PeerResult.Unreachable
+            is CallResult.Failed -> when (result.failure) {
+                CallFailure.NO_ANSWER_IN_TIME -> PeerResult.TimedOut
+                CallFailure.NO_CONNECTION_IN_TIME, CallFailure.CONNECT_FAILED, CallFailure.CONNECTION_LOST -> PeerResult.Unreachable
+            }
         }
+
+    private fun decoded(peer: Address, answer: CallResult.Answered): PeerResult = try {
+        PeerResult.Answered(PeerCodec.decodeReply(answer.body))
+    } catch (e: SerializationException) {
+        log.error("a garbled answer from peer {}: {}", peer, e.message)
+        PeerResult.Unreachable
     }
 
     companion object {
--- a/src/main/kotlin/cleathitch/state/Leadership.kt
+++ b/src/main/kotlin/cleathitch/state/Leadership.kt
@@ -10,46 +10,6 @@
 import kotlinx.coroutines.delay
 import org.slf4j.LoggerFactory
 
-/** Told what becomes of the leadership, on the loop that keeps the lease. */
-interface LeadershipListener {
-    /** We lead for as long as the lease says. */
-    fun elected(lease: Lease)
-    fun deposed(lease: Lease, reason: String)
-
-    /** Who leads, and in which term; with nobody, the newest revision known. */
-    fun leaderIs(member: String?, term: Long)
-}
-
-/**
- * One term's lease, as both loops see it: kept on a loop of its own, used and given up where the work is done.
- */
-class Lease(val term: Term, heldUntilMs: Long, workedMs: Long) {
-    /** Until then it is surely held. */
-    @Volatile
-    var heldUntilMs = heldUntilMs
-        internal set
-
-    /** When the leader's own loop last showed that it gets on. */
-    @Volatile
-    var workedMs = workedMs
-        private set
-
-    @Volatile
-    internal var resignation: Resignation? = null
-        private set
-
-    internal class Resignation(val reason: String, val handOver: Boolean)
-
-    fun worked(nowMs: Long) {
-        workedMs = nowMs
-    }
-
-    /** Gives the leadership up, for instance because a newer leader was seen; a [handOver] lets others go first. */
-    fun resign(reason: String, handOver: Boolean) {
-        resignation = Resignation(reason, handOver)
-    }
-}
-
 /**
  * Holds the leader's key under a lease while it can, and watches it otherwise. It runs on a loop of its own:
  * behind the reports of a large fleet, a leader whose code was still cold lost its lease again and again.
@@ -66,90 +26,112 @@
     private val steadyMs: () -> Long,
 ) {
     private var holdBackUntilMs = 0L
-    private var ledLast = 0L
+    private var lastLedTerm = 0L
 
     suspend fun run(listener: LeadershipListener): Nothing {
         while (true) {
-            val page = when (val read = state.list(leaderKey, null)) {
-                is StateRead.Value -> read.value
-                is StateRead.Failed -> {
-                    delay(ttlMs / 8)
-                    continue
-                }
-            }
-            val entry = page.entries.firstOrNull { it.key == leaderKey }
-            if (entry == null) {
-                listener.leaderIs(null, page.revision)
-                if (steadyMs() < holdBackUntilMs) delay(ttlMs / 8) else compete(listener)
-                continue
+            when (val read = state.list(leaderKey, null)) {
+                is StateRead.Value -> act(read.value, listener)
+                is StateRead.Failed -> pause()
             }
-            val holder = Holder.of(entry)
-            when {
-                holder?.incarnation == incarnation && entry.revision != ledLast -> {
-                    // Won by a transaction whose answer was lost. What is left of its lease isn't known, and after
-                    // a standstill it may be nothing: it counts from a renewal, not from this look.
-                    val sent = steadyMs()
-                    if (state.extend(holder.lease) == Renewal.Held) {
-                        lead(listener, Term(entry.revision), holder.lease, sent)
-                    } else {
-                        delay(ttlMs / 8)
-                    }
-                }
-                holder?.member == member -> {
-                    // The process that held it is gone, since we are its successor, or it is a term that we gave up:
-                    // no need to wait for the lease's end. A term is led once, as its names and versions count up from one.
-                    log.info("releasing the lease of term {}", entry.revision)
-                    if (!state.release(holder.lease)) delay(ttlMs / 8)
-                }
-                else -> {
-                    listener.leaderIs(holder?.member, entry.revision)
-                    if (state.follow(leaderKey, page.revision, WATCH_LEASES * ttlMs) is StateRead.Failed) delay(ttlMs / 8)
-                }
+        }
+    }
+
+    /** Does what follows from who holds the leader's key, as [page] shows it. */
+    private suspend fun act(page: StateWire.Page, listener: LeadershipListener) {
+        val entry = page.entries.firstOrNull { it.key == leaderKey }
+        val holder = entry?.let(Holder::of)
+        when {
+            entry == null -> leaderMissing(page.revision, listener)
+            holder?.incarnation == incarnation && entry.revision != lastLedTerm -> resume(entry, holder, listener)
+            holder?.member == member -> releaseFormerTerm(entry, holder)
+            else -> {
+                listener.leaderIs(holder?.member, entry.revision)
+                if (state.follow(leaderKey, page.revision, WATCH_LEASES * ttlMs) is StateRead.Failed) pause()
             }
         }
     }
 
+    private suspend fun leaderMissing(revision: Long, listener: LeadershipListener) {
+        listener.leaderIs(null, revision)
+        if (steadyMs() < holdBackUntilMs) pause() else compete(listener)
+    }
+
+    /**
+     * Leads a term that was won by a transaction whose answer was lost. What is left of its lease isn't known, and after
+     * a pause of the process it may be nothing: it counts from a renewal, not from the look at the key.
+     */
+    private suspend fun resume(entry: StateWire.Entry, holder: Holder, listener: LeadershipListener) {
+        val sentMs = steadyMs()
+        if (state.extend(holder.lease) == Renewal.Held) lead(listener, Term(entry.revision), holder.lease, sentMs) else pause()
+    }
+
+    /**
+     * Ends a lease of a process whose successor this one is, or of a term that this process gave up, without waiting for
+     * the lease's end. A term is led once, as its names and versions count up from one.
+     */
+    private suspend fun releaseFormerTerm(entry: StateWire.Entry, holder: Holder) {
+        log.info("releasing the lease of term {}", entry.revision)
+        if (!state.release(holder.lease)) pause()
+    }
+
+    private suspend fun pause() = delay(ttlMs / PAUSES_PER_LEASE)
+
     private suspend fun compete(listener: LeadershipListener) {
         val asked = steadyMs()
         val lease = when (val read = state.hold(ttlMs)) {
             is StateRead.Value -> read.value
-            is StateRead.Failed -> return delay(ttlMs / 8)
+            is StateRead.Failed -> return pause()
         }
         val value = Wire.newMap().put("member", member).put("incarnation", incarnation).put("lease", lease)
         when (val result = state.transaction(mapOf(leaderKey to 0L), listOf(StateWire.Write.Put(leaderKey, value, lease)))) {
             is Txn.Done -> lead(listener, Term(result.revision), lease, asked)
             is Txn.Refused, Txn.NoLease -> state.release(lease)
-            is Txn.Unavailable, is Txn.Unknown -> delay(ttlMs / 8) // the next look shows whether we have it
+            // The next look at the key shows whether we have it.
+            is Txn.Unavailable, is Txn.Unknown -> pause()
         }
     }
 
     private suspend fun lead(listener: LeadershipListener, term: Term, hold: Long, renewedMs: Long) {
-        ledLast = term.revision
+        lastLedTerm = term.revision
         val lease = Lease(term, heldUntil(renewedMs), steadyMs())
         listener.elected(lease)
         while (true) {
             delay(ttlMs / RENEWALS_PER_LEASE)
-            val resignation = lease.resignation
-            if (resignation != null) {
-                if (resignation.handOver) holdBackUntilMs = steadyMs() + ttlMs * HAND_OVER_LEASES
-                listener.deposed(lease, resignation.reason)
-                state.release(hold)
-                return
-            }
-            if (steadyMs() - lease.workedMs > ttlMs * STUCK_LEASES) {
-                // It runs out and isn't released: whoever does the work may be in the middle of an answer, and goes by the clock.
-                listener.deposed(lease, "nothing gets on here")
-                return delay(ttlMs)
+            if (givenUp(lease, hold, listener) || !renewed(lease, hold, listener)) return
+        }
+    }
+
+    /** True if the term is over because its own side has given it up, or has stopped working. */
+    private suspend fun givenUp(lease: Lease, hold: Long, listener: LeadershipListener): Boolean {
+        val resignation = lease.resignation
+        if (resignation != null) {
+            if (resignation.handOver) holdBackUntilMs = steadyMs() + ttlMs * HAND_OVER_LEASES
+            listener.deposed(lease, resignation.reason)
+            state.release(hold)
+            return true
+        }
+        if (steadyMs() - lease.workedMs <= ttlMs * STUCK_LEASES) return false
+        // It runs out and isn't released: whoever does the work may be in the middle of an answer, and goes by the clock.
+        listener.deposed(lease, "nothing gets on here")
+        delay(ttlMs)
+        return true
+    }
+
+    /** False if the lease is surely gone. */
+    private suspend fun renewed(lease: Lease, hold: Long, listener: LeadershipListener): Boolean {
+        val sentMs = steadyMs()
+        when (val renewal = state.extend(hold)) {
+            Renewal.Held -> lease.heldUntilMs = heldUntil(sentMs)
+            Renewal.Gone -> {
+                listener.deposed(lease, "the lease ran out")
+                return false
             }
-            val sent = steadyMs()
-            when (val renewal = state.extend(hold)) {
-                Renewal.Held -> lease.heldUntilMs = heldUntil(sent)
-                Renewal.Gone -> return listener.deposed(lease, "the lease ran out")
-                is Renewal.Unknown -> if (steadyMs() > lease.heldUntilMs) {
-                    log.info("term {}: the lease may have run out: {}", term.revision, renewal.failure)
-                }
+            is Renewal.Unknown -> if (steadyMs() > lease.heldUntilMs) {
+                log.info("term {}: the lease may have run out: {}", lease.term.revision, renewal.failure)
             }
         }
+        return true
     }
 
     private fun heldUntil(renewedMs: Long) = renewedMs + ttlMs - (ttlMs * Tuning.DRIFT).toLong() - 1
@@ -168,6 +150,9 @@
         val log = LoggerFactory.getLogger("cleathitch.state")
         const val RENEWALS_PER_LEASE = 4
 
+        /** Between two looks at the key while nothing else can be done. */
+        const val PAUSES_PER_LEASE = 8
+
         /** An election takes far less; if nobody else has won it by then, we may lead again. */
         const val HAND_OVER_LEASES = 4
 
--- a/src/test/kotlin/cleathitch/http/FrontTest.kt
+++ b/src/test/kotlin/cleathitch/http/HttpEndpointTest.kt
@@ -15,12 +15,12 @@
 import kotlin.random.Random
 
 /** A real server on loopback, at the limit of its connections. */
-class FrontTest {
+class HttpEndpointTest {
     private val vertx = Vertx.vertx()
     private val most = 40
-    private val room = Connections(most)
+    private val room = ConnectionLimit(most)
     private val port = runBlocking {
-        Front(vertx, CoroutineScope(vertx.dispatcher()), maxBody = 1024, idleS = 60, room) { _, path, _ ->
+        HttpEndpoint(vertx, CoroutineScope(vertx.dispatcher()), maxBody = 1024, idleS = 60, room) { _, path, _ ->
             HttpReply(if (path == "/") 200 else 503, last = path == "/elsewhere")
         }.listen(Address("127.0.0.1", 0))
     }
