--- a/src/test/kotlin/cleathitch/core/EngineTrace.kt
+++ b/src/test/kotlin/cleathitch/core/EngineTrace.kt
@@ -61,15 +61,17 @@
         stateServiceOut = false
         unanswered.clear()
         term = ++revision
-        val entries = cells.values.flatMap { put ->
-            StoredCodec.encode(put.value, put.parts).mapIndexed { part, value ->
-                StateWire.Entry(put.key + if (put.value is Stored.OfJob) "/$part" else "", value, revision)
-            }
-        }
-        engine = Engine(deployment, tuning, Term(term), StoredCodec.snapshot(entries), Moment(nowMs, nowMs), StoredCodec)
+        engine = Engine(deployment, tuning, Term(term), StoredCodec.snapshot(storedEntries()), Moment(nowMs, nowMs), StoredCodec)
         return step(Command.LeaseHeld(Long.MAX_VALUE / 2), Command.TypesListed(listOf(type)))
     }
 
+    /** What stands in the state service, as a new leader reads it. */
+    protected fun storedEntries(): List<StateWire.Entry> = cells.values.flatMap { put ->
+        StoredCodec.encode(put.value, put.parts).mapIndexed { part, value ->
+            StateWire.Entry(put.key + if (put.value is Stored.OfJob) "/$part" else "", value, revision)
+        }
+    }
+
     protected fun at(ms: Long) {
         nowMs = ms
     }
--- /dev/null
+++ b/src/test/kotlin/cleathitch/core/LargeFleetTest.kt
@@ -0,0 +1,107 @@
+package cleathitch.core
+
+import cleathitch.protocol.Wire
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/**
+ * What grows with the fleet on the way from an election to answers, counted at 4,000 machines under the limits of a small
+ * state service. Times and memory are printed, not judged:
+ *
+ * `mvn -Dtest=LargeFleetTest test` prints the figures of one engine and its replay.
+ */
+class LargeFleetTest : EngineTrace() {
+    private val reportMs = (deployment.reportS * 1000).toLong()
+
+    /** Half of the machines run two tasks each. */
+    private fun running(machines: Int): List<Report> {
+        machines(machines)
+        submit(jobs = machines / TASKS_PER_JOB, tasks = TASKS_PER_JOB)
+        val tasks = HashMap<MachineId, MutableSet<ReportedTask>>()
+        var rounds = 0
+        while (tasks.values.sumOf { it.size } < machines && rounds++ < MOST_ROUNDS) {
+            val starts = settle(rounds = 1).filterIsInstance<Effect.Push>().flatMap { push ->
+                push.orders.filterIsInstance<Order.Start>().map { push.machine to ReportedTask(it.attempt, TaskState.RUNNING) }
+            }
+            // An order that no report has shown yet may be sent again.
+            starts.forEach { (machine, task) -> tasks.getOrPut(machine) { LinkedHashSet() } += task }
+            // Machines report on meanwhile, else they count as silent.
+            if (rounds % ROUNDS_PER_REPORT == 0) reportAll(machines, tasks, rounds.toLong())
+        }
+        assertEquals(machines, tasks.values.sumOf { it.size }, "tasks that were started in $rounds rounds")
+        return reportAll(machines, tasks, MOST_ROUNDS + 1L)
+    }
+
+    private fun reportAll(machines: Int, tasks: Map<MachineId, Set<ReportedTask>>, seq: Long): List<Report> {
+        val reports = List(machines) { number -> report(number, seq + 1).let { it.copy(tasks = tasks[it.machine].orEmpty().toList()) } }
+        reports.forEach { step(Command.Reported(request(), it)) }
+        return reports
+    }
+
+    private fun usedMb(): Long {
+        repeat(2) { System.gc() }
+        return Runtime.getRuntime().run { totalMemory() - freeMemory() } / 1_000_000
+    }
+
+    private fun pagesOf(entries: Int, bytes: Long) = maxOf((entries + PAGE_ENTRIES - 1) / PAGE_ENTRIES, (bytes / PAGE_BYTES + 1).toInt())
+
+    @Test
+    fun `a take-over at 4,000 machines reads few pages and takes the report of every machine`() {
+        val before = usedMb()
+        val reports = running(MACHINES)
+        val stored = storedEntries()
+        val bytes = stored.sumOf { Wire.encode(it.value).size.toLong() + it.key.length }
+        val pages = pagesOf(stored.size, bytes)
+        val withEngine = usedMb()
+        val startNs = System.nanoTime()
+        takeOver()
+        val replayMs = (System.nanoTime() - startNs) / 1_000_000
+        step(Command.MachinesListed(List(MACHINES) { listed(it) }))
+        val beginMs = nowMs
+        val asked = HashSet<MachineId>()
+        while (nowMs - beginMs < reportMs) settle(rounds = 1).filterIsInstance<Effect.Inspect>().mapTo(asked) { it.machine }
+        println(
+            "$MACHINES machines, as many tasks: ${stored.size} entries, ${bytes / 1000} kB, $pages pages, replay $replayMs ms; " +
+                "${asked.size} machines asked in a report period of $reportMs ms; heap $before MB before, $withEngine MB with the engine, " +
+                "${usedMb()} MB after its successor's replay",
+        )
+        assertTrue(pages <= MOST_PAGES) { "$pages pages, $bytes bytes, ${stored.size} entries" }
+        val heard = reports.count {
+            step(Command.Reported(request(), it.copy(seq = it.seq + 1))).any { effect -> effect is Effect.AnswerReport }
+        }
+        assertEquals(MACHINES, heard)
+    }
+
+    /** Trimming keeps up: what a replay reads doesn't grow with what was ever done. */
+    @Test
+    fun `what is stored at 4,000 machines stays bounded while jobs come and go`() {
+        val reports = running(MACHINES)
+        val atFirst = storedEntries().size
+        reports.forEach { report ->
+            val ended = report.tasks.map { it.copy(state = TaskState.EXITED, why = ExitReason.DONE) }
+            step(Command.Reported(request(), report.copy(seq = report.seq + 1, tasks = ended)))
+        }
+        var rounds = 0
+        while (storedEntries().size > LEFT_ENTRIES && rounds++ < MOST_ROUNDS) settle(rounds = 1)
+        println("$MACHINES ended tasks: $atFirst entries before, ${storedEntries().size} after $rounds rounds of ${tuning.roundMs} ms")
+        assertTrue(storedEntries().size <= LEFT_ENTRIES) { "${storedEntries().size} entries are left" }
+    }
+
+    private companion object {
+        const val MACHINES = 4000
+        const val TASKS_PER_JOB = 4
+        const val MOST_ROUNDS = 3000
+        const val ROUNDS_PER_REPORT = 8
+
+        /** What the state service gives in one answer. */
+        const val PAGE_ENTRIES = 1000
+        const val PAGE_BYTES = 512 * 1024L
+
+        /** At a few milliseconds a page, and some hundred now and then, far below the watchdog's four leases. */
+        const val MOST_PAGES = 8
+
+        /** Head, fleet, two chunks of final states, and the last records. */
+        const val LEFT_ENTRIES = 8
+    }
+}
