--- a/src/test/kotlin/cleathitch/core/EngineTrace.kt
+++ b/src/test/kotlin/cleathitch/core/EngineTrace.kt
@@ -2,7 +2,6 @@
 
 import cleathitch.protocol.StateWire
 import cleathitch.state.StoredCodec
-import java.util.TreeMap
 
 /** One engine that leads, whose commits succeed at once unless a test holds them, and what a test feeds it with. */
 abstract class EngineTrace(private var term: Long = 7, snapshot: Snapshot = Snapshot.EMPTY, maxCpus: Double? = null) {
@@ -25,7 +24,7 @@
     private val unanswered = ArrayList<Commit>()
 
     /** What stands in the state service. */
-    private val cells = TreeMap<String, Change.Put>()
+    private val cells = StoredCells()
 
     protected fun request() = RequestId(++requests)
 
@@ -39,14 +38,7 @@
 
     private fun carryOut(commit: Commit): List<Effect> {
         commits += commit
-        for (change in commit.changes) {
-            when (change) {
-                is Change.Put -> cells[change.key] = change
-                is Change.Delete -> cells.remove(
-                    if (change.key.startsWith(Journal.JOB_PREFIX)) change.key.substringBeforeLast('/') else change.key,
-                )
-            }
-        }
+        cells.apply(commit.changes)
         return step(Command.Committed(commit.seq, ++revision))
     }
 
@@ -66,11 +58,7 @@
     }
 
     /** What stands in the state service, as a new leader reads it. */
-    protected fun storedEntries(): List<StateWire.Entry> = cells.values.flatMap { put ->
-        StoredCodec.encode(put.value, put.parts).mapIndexed { part, value ->
-            StateWire.Entry(put.key + if (put.value is Stored.OfJob) "/$part" else "", value, revision)
-        }
-    }
+    protected fun storedEntries(): List<StateWire.Entry> = cells.entries(revision)
 
     protected fun at(ms: Long) {
         nowMs = ms
--- a/src/test/kotlin/cleathitch/core/World.kt
+++ b/src/test/kotlin/cleathitch/core/World.kt
@@ -1,60 +1,11 @@
 package cleathitch.core
 
-import cleathitch.protocol.StateWire
 import cleathitch.state.StoredCodec
 import cleathitch.workers.ForwardOutcome
 import cleathitch.workers.ReportQueue
 import java.util.PriorityQueue
-import java.util.TreeMap
 import kotlin.random.Random
 
-/** What a world's days are like. */
-data class Weather(
-    /** Share of messages that are lost, held for up to a minute, or delivered twice. */
-    val lost: Double = 0.0,
-    val held: Double = 0.0,
-    val twice: Double = 0.0,
-    /** Mean time between kills of a leader, between partitions of one, and between deaths of machines; 0: never. */
-    val killS: Double = 0.0,
-    val cutS: Double = 0.0,
-    val dieS: Double = 0.0,
-    val hangS: Double = 0.0,
-    /** Share of reports of which a copy comes late, up to twice a worker's lease. */
-    val copied: Double = 0.0,
-    /** Mean time between machines that lose what is sent to them, and between machines that start anew at once. */
-    val deafS: Double = 0.0,
-    val bounceS: Double = 0.0,
-    /** Mean time between racks that stop (a quarter of the machines), zones cut off, and nodes that stand still. */
-    val rackS: Double = 0.0,
-    val zoneS: Double = 0.0,
-    val standS: Double = 0.0,
-    /** Killed nodes are back within a fraction of a second, and may be killed again in the election. */
-    val quick: Boolean = false,
-    /** Share of transactions that get no answer and are carried out 2 to 12 s later. */
-    val lateWrites: Double = 0.0,
-    /** Mean time between outages of the state service (a few seconds, now and then beyond a lease). */
-    val outageS: Double = 0.0,
-    /** Mean time between machines that reach no node, while direct orders reach them, and between thirds of the fleet that hear nothing. */
-    val muteS: Double = 0.0,
-    val deafManyS: Double = 0.0,
-    /** Mean time between moments at which users call off several running jobs, whose machines hang then. */
-    val cancelNowS: Double = 0.0,
-    /** Share of jobs that are called off as their last task ends. */
-    val cancelAtEnd: Double = 0.0,
-    /** Mean time between repeated submissions, cancellations of done jobs and jobs that can't run. */
-    val oddS: Double = 0.0,
-    /** Mean time between spells without any node, up to beyond a lease. */
-    val awayS: Double = 0.0,
-    /** When the state service refuses the leader alone, its successor confirms cancellations, and then it is out beyond `cancelS`. */
-    val gapAtS: Double = 0.0,
-    /** Share of commits that archive jobs and are never carried out: their leader ends within a lease. */
-    val endsAtArchive: Double = 0.0,
-    /** Seconds between trims, if not the usual. */
-    val trimS: Double? = null,
-    /** Tasks end within a report period, so that the first that is heard of most is their end. */
-    val shortTasks: Boolean = false,
-)
-
 /**
  * A stand-in for everything round the core: state service, cloud, workers, users and the nodes' own
  * elections, in simulated time and from one seed. After each step it checks the page's rules.
@@ -73,6 +24,7 @@
     val trace = ArrayList<String>()
 
     private val tuning = Tuning.of(deployment, weather.trimS)
+    private val state = StateServiceModel<Node>(TTL_MS) { nowMs }
     private val type = MachineType("m4", 4.0, 0.0, 16.0, 50.0, 1.0, 1.0, 0.4, 5.0, deployment.zones)
 
     fun after(ms: Long, action: () -> Unit) {
@@ -98,60 +50,6 @@
         nowMs = maxOf(nowMs, end)
     }
 
-    // ---- the state service
-
-    private class Cell(val key: String, val stored: Stored, val parts: Int)
-
-    private var revision = 0L
-    private var leaderKey: Long? = null
-    private var leaderNode: Node? = null
-    private var leaseEndMs = 0L
-    private var headRevision = 0L
-    private val cells = TreeMap<String, Cell>()
-
-    /** Until then the state service is out; leases have their full time after that. */
-    private var stateDownUntilMs = 0L
-
-    private fun outage(forMs: Long) {
-        stateDownUntilMs = maxOf(stateDownUntilMs, nowMs + forMs)
-        leaseEndMs = stateDownUntilMs + TTL_MS
-    }
-
-    private fun expireLease() {
-        if (nowMs < stateDownUntilMs) return
-        if (leaderKey != null && nowMs >= leaseEndMs) {
-            leaderKey = null
-            leaderNode = null
-            revision++
-        }
-    }
-
-    private fun transact(term: Long, head: Long, changes: List<Change>): Long? {
-        expireLease()
-        if (leaderKey != term || headRevision != head) return null
-        revision++
-        for (change in changes) {
-            when (change) {
-                is Change.Put -> cells[change.key] = Cell(change.key, change.value, change.parts)
-                // the world keeps a cell's parts together, so each part's deletion is the cell's
-                is Change.Delete -> cells.remove(
-                    if (change.key.startsWith(Journal.JOB_PREFIX)) change.key.substringBeforeLast('/') else change.key,
-                )
-            }
-        }
-        headRevision = revision
-        return revision
-    }
-
-    /** Through the real codec, as a new leader would read it. */
-    private fun snapshot() = StoredCodec.snapshot(
-        cells.values.flatMap { cell ->
-            StoredCodec.encode(cell.stored, cell.parts).mapIndexed { part, value ->
-                StateWire.Entry(cell.key + if (cell.stored is Stored.OfJob) "/$part" else "", value, headRevision)
-            }
-        },
-    )
-
     // ---- nodes
 
     inner class Node(val name: String, private val drift: Double) {
@@ -162,7 +60,7 @@
 
         /** Until then the state service refuses this node alone. */
         var refusedUntilMs = 0L
-        private val served get() = nowMs >= refusedUntilMs && nowMs >= stateDownUntilMs
+        private val served get() = nowMs >= refusedUntilMs && !state.isOut
 
         /** Until then it does nothing, while its clocks run on; what comes meanwhile waits. */
         var standsUntilMs = 0L
@@ -181,8 +79,8 @@
             fun loop() {
                 if (life != mine) return
                 if (nowMs < standsUntilMs) return after(standsUntilMs - nowMs, ::loop)
-                expireLease()
-                if (engine == null && leaderKey == null && served) elect()
+                state.expireLease()
+                if (engine == null && state.isLeaderless && served) elect()
                 engine?.let { if (nowMs - lastRenewal >= TTL_MS / 4) renew() }
                 take(Command.Tick)
                 forwardReports()
@@ -202,16 +100,12 @@
         }
 
         private fun elect() {
-            revision++
-            leaderKey = revision
-            leaderNode = this
-            leaseEndMs = nowMs + TTL_MS
-            term = revision
-            head = headRevision
+            term = state.elect(this)
+            head = state.headRevision
             heldUntil = steadyMs() + TTL_MS * 999 / 1000
             lastRenewal = nowMs
             inFlight = null
-            engine = Engine(deployment, tuning, Term(term), snapshot(), moment(), StoredCodec)
+            engine = Engine(deployment, tuning, Term(term), state.snapshot(), moment(), StoredCodec)
             trace += "${nowMs / 1000.0} $name leads in term $term"
             take(Command.LeaseHeld(heldUntil))
             take(Command.TypesListed(listOf(type)))
@@ -223,9 +117,7 @@
             if (!served) return
             val mine = term
             after(random.nextLong(1, 10)) {
-                expireLease()
-                if (leaderKey == mine) leaseEndMs = nowMs + TTL_MS
-                val held = leaderKey == mine
+                val held = state.renew(mine)
                 after(random.nextLong(1, 10)) {
                     if (term == mine && engine != null) {
                         if (held) take(Command.LeaseHeld(sent + TTL_MS * 999 / 1000)) else resign()
@@ -304,11 +196,8 @@
                 if (served && nowMs >= standsUntilMs) {
                     val late = !calm && random.nextDouble() < weather.lateWrites
                     send(if (late) random.nextLong(2000, 12_000) else 0) {
-                        if (!late && nowMs < stateDownUntilMs) return@send
-                        val done = transact(mine, expected, commit.changes)
-                        val applied =
-                            (cells[Journal.HEAD]?.stored as? Stored.Head)?.let { it.seq == commit.seq && it.term.revision == mine } == true
-                        val result = done ?: headRevision.takeIf { applied }
+                        if (!late && state.isOut) return@send
+                        val result = state.transact(mine, expected, commit)
                         val refused = result == null
                         if (!late && (calm || random.nextDouble() >= weather.lost)) {
                             after(random.nextLong(1, 10)) {
@@ -379,7 +268,7 @@
     private val answers = HashMap<RequestId, (UserReply) -> Unit>()
     private val reportAnswers = HashMap<RequestId, (Effect.AnswerReport) -> Unit>()
     private val batchAnswers = HashMap<RequestId, (Effect.AnswerFollower) -> Unit>()
-    val leader: Node? get() = nodes.filter { it.engine != null }.maxByOrNull { if (it === leaderNode) 1 else 0 }
+    val leader: Node? get() = nodes.filter { it.engine != null }.maxByOrNull { if (it === state.leader) 1 else 0 }
 
     // ---- machines
 
@@ -793,7 +682,7 @@
             val node = if (random.nextBoolean()) leader ?: nodes.random(random) else nodes.random(random)
             node.standsUntilMs = nowMs + random.nextLong(1000, if (random.nextInt(4) == 0) 50_000 else 6000)
         }
-        now(weather.outageS) { outage(random.nextLong(500, if (random.nextInt(4) == 0) 50_000 else 8000)) }
+        now(weather.outageS) { state.outage(random.nextLong(500, if (random.nextInt(4) == 0) 50_000 else 8000)) }
         now(weather.muteS) {
             machines.values.shuffled(random).take(1 + machines.size / 3).forEach {
                 it.muteUntilMs =
@@ -820,9 +709,9 @@
         val old = leader ?: return after(200, ::gap)
         old.refusedUntilMs = nowMs + 14_000
         fun succeeded() {
-            if (leader == null || leaderNode === old || leaderNode?.engine == null) return after(50, ::succeeded)
+            if (leader == null || state.leader === old || state.leader?.engine == null) return after(50, ::succeeded)
             cancelSome(hang = random.nextBoolean())
-            after(random.nextLong(100, 1500)) { outage((deployment.cancelS * 1200).toLong()) }
+            after(random.nextLong(100, 1500)) { state.outage((deployment.cancelS * 1200).toLong()) }
         }
         succeeded()
     }
@@ -832,8 +721,7 @@
         calm = true
         calmSinceMs = nowMs
         nodes.forEach { it.refusedUntilMs = 0 }
-        stateDownUntilMs = minOf(stateDownUntilMs, nowMs)
-        leaseEndMs = minOf(leaseEndMs, nowMs + TTL_MS)
+        state.endOutage()
         machines.values.forEach { machine ->
             machine.muteUntilMs = 0
             if (machine.deafUntilMs != Long.MAX_VALUE) machine.deafUntilMs = 0
