--- a/src/test/kotlin/cleathitch/core/LargeFleetTest.kt
+++ b/src/test/kotlin/cleathitch/core/LargeFleetTest.kt
@@ -63,12 +63,12 @@
         while (nowMs - beginMs < reportMs) settle(rounds = 1).filterIsInstance<Effect.Inspect>().mapTo(asked) { it.machine }
         println(
             "$MACHINES machines, as many tasks: ${stored.size} entries, ${bytes / 1000} kB, $pages pages, replay $replayMs ms; " +
-                "${asked.size} machines asked in a report period of $reportMs ms; heap $before MB before, $withEngine MB with the engine, " +
-                "${usedMb()} MB after its successor's replay",
+                "${asked.size} machines asked in a report period of $reportMs ms; " +
+                "heap $before MB before, $withEngine MB with the engine, ${usedMb()} MB after its successor's replay",
         )
         assertTrue(pages <= MOST_PAGES) { "$pages pages, $bytes bytes, ${stored.size} entries" }
-        val heard = reports.count {
-            step(Command.Reported(request(), it.copy(seq = it.seq + 1))).any { effect -> effect is Effect.AnswerReport }
+        val heard = reports.count { report ->
+            step(Command.Reported(request(), report.copy(seq = report.seq + 1))).any { it is Effect.AnswerReport }
         }
         assertEquals(MACHINES, heard)
     }
