Show that a follower which can't reach the leader keeps a share of the users

Cause: /ready of a follower goes by the leader's own announcements. With connections refused in one direction the follower stays ready, refuses all users, and so always has the fewest connections for the load balancer.

--- a/review/standin/review/Cluster.java
+++ b/review/standin/review/Cluster.java
@@ -21,6 +21,8 @@
     private final int[] ports;
     private final int[] internalPorts;
     private final Process[] processes;
+    /** Where a controller finds another one; the address of a link if there is one between them. */
+    private final Link[][] links;
     private int[] statePorts;
     private int cloudPort;
     ObjectNode settings;
@@ -38,6 +40,7 @@
         ports = new int[nodes];
         internalPorts = new int[nodes];
         processes = new Process[nodes];
+        links = new Link[nodes][nodes];
         for (int node = 0; node < nodes; node++) {
             ports[node] = Wire.freePort();
             internalPorts[node] = Wire.freePort();
@@ -66,6 +69,21 @@
         return cluster.put("skew_ms", 100.0);
     }
 
+    /** Puts a link between each two controllers, for each direction in which connections are opened. */
+    void addLinks() throws IOException {
+        for (int from = 0; from < size(); from++) {
+            for (int to = 0; to < size(); to++) if (from != to) links[from][to] = new Link(internalPorts[to]);
+        }
+    }
+
+    Link link(int from, int to) {
+        return links[from][to];
+    }
+
+    private int peerPort(int from, int to) {
+        return links[from][to] == null ? internalPorts[to] : links[from][to].port;
+    }
+
     void connect(int[] statePorts, int cloudPort) {
         this.statePorts = statePorts;
         this.cloudPort = cloudPort;
@@ -98,7 +116,7 @@
         ArrayNode seeds = file.putArray("seeds");
         for (int other = 0; other < size(); other++) {
             if (other != node) {
-                seeds.addObject().put("member", "burro-" + other).put("domain", "quito-norte").put("addr", "127.0.0.1:" + internalPorts[other]);
+                seeds.addObject().put("member", "burro-" + other).put("domain", "quito-norte").put("addr", "127.0.0.1:" + peerPort(node, other));
             }
         }
         file.putObject("outside").put("cloud", "127.0.0.1:" + cloudPort).put("state", "127.0.0.1:" + statePorts[node]);
