--- a/review/standin/review/Worker.java
+++ b/review/standin/review/Worker.java
@@ -178,6 +178,8 @@
             dueMs = lastSentMs + (long) (cluster.reportMs() * ThreadLocalRandom.current().nextDouble(0.75, 1.25));
             int to = node;
             Reply reply = Wire.call(cluster.port(to), "POST", "/agent/beat", report, ANSWER_TIMEOUT_MS);
+            journal.line(id + " reports to burro-" + to + ": " + brief(report) + "; answer "
+                + (reply == null ? "none" : reply.status() + " " + brief(reply.body())));
             if (reply != null && reply.status() == 200) {
                 answered(reply.body(), sentSession, lastSentMs);
                 continue;
@@ -195,6 +197,27 @@
         }
     }
 
+    /** A message in short: without the machine's own data, and with the first few tasks or commands of long lists. */
+    private static String brief(JsonNode message) {
+        if (message == null) return "";
+        StringBuilder text = new StringBuilder();
+        for (String field : new String[] {"jornada", "folio", "vara", "capataz"}) {
+            if (message.has(field)) text.append(field).append('=').append(message.get(field).asText()).append(' ');
+        }
+        for (String field : new String[] {"tareas", "ordenes"}) {
+            JsonNode list = message.path(field);
+            if (!list.isArray()) continue;
+            text.append(field).append('[').append(list.size()).append("]=");
+            for (int i = 0; i < Math.min(3, list.size()); i++) {
+                JsonNode item = list.get(i);
+                text.append(item.path("orden").asText("")).append(item.path("estado").asText("")).append(' ')
+                    .append(item.path("tarea").asText()).append('#').append(item.path("intento").asText())
+                    .append(item.has("motivo") ? " " + item.get("motivo").asText() : "").append(", ");
+            }
+        }
+        return text.toString().trim();
+    }
+
     private synchronized void answered(JsonNode body, long sentSession, long sentMs) {
         if (sentSession != session || body.path("vara").asLong(0) < token) return;
         leaseFromMs = Math.max(leaseFromMs, sentMs);
@@ -255,10 +278,15 @@
 
     private synchronized Reply handle(String method, String path, String query, JsonNode body) {
         if (!open) return Reply.of(404, Wire.map());
-        if (path.equals("/inspect")) return Reply.of(200, describe());
+        if (path.equals("/inspect")) {
+            journal.line(id + " is asked for a report");
+            return Reply.of(200, describe());
+        }
         if (!path.equals("/do")) return Reply.of(404, Wire.map());
         if (!body.hasNonNull("vara") || !body.hasNonNull("jornada")) return Reply.of(400, Wire.map());
-        if (body.get("vara").longValue() < token || body.get("jornada").longValue() != session) return Reply.of(409, describe());
+        boolean isTaken = body.get("vara").longValue() >= token && body.get("jornada").longValue() == session;
+        journal.line(id + " is sent commands: " + brief(body) + "; answer " + (isTaken ? 200 : 409));
+        if (!isTaken) return Reply.of(409, describe());
         accept(body);
         return Reply.of(200, describe());
     }
