--- a/review/standin/review/HugeArray.java
+++ b/review/standin/review/HugeArray.java
@@ -43,7 +43,16 @@
         double waitingSince = -1;
         long nextPollMs = 0;
         int node = 0;
+        boolean isTried = false;
         while (true) {
+            // For the record only: what other users are told once transactions are refused.
+            if (!isTried && store.tooLarge > 0 && journal.seconds() - store.firstTooLargeS > 20) {
+                isTried = true;
+                Job late = new Job("j-000003", "despacho", "fare-recon", "array", 1, 4, 4.3, 0.03, "mitad", 1500);
+                cluster.user(0, "POST", "/submissions", late.submission(), false);
+                cluster.user(1, "POST", "/submissions", late.submission(), false);
+                cluster.user(1, "POST", "/submissions/j-000001/abort", Wire.map(), false);
+            }
             if (Wire.nowMs() >= nextPollMs) {
                 nextPollMs = Wire.nowMs() + 5000;
                 Reply reply = cluster.user(node++ % 3, "GET", "/submissions/" + job.id, null, false);
