Log which heartbeat ended an attempt, and which lease

An attempt ends for three reasons (a heartbeat shows its exit, a heartbeat lacks it, the worker's lease is over), and the log named only the first, without saying how old that heartbeat was.

Change: `attempt_exited` gives the heartbeat's incarnation and fencing token and whether an earlier leader created the attempt; `attempt_missing` and `worker_lease_expired` are new. All at `debug`. The check of leases visits only machines with attempts.

--- a/src/main/kotlin/cleathitch/scheduler/machines/FleetMonitor.kt
+++ b/src/main/kotlin/cleathitch/scheduler/machines/FleetMonitor.kt
@@ -1,7 +1,9 @@
 package cleathitch.scheduler.machines
 
+import cleathitch.scheduler.api.LogLevel
 import cleathitch.scheduler.api.SchedulerContext
 import cleathitch.scheduler.api.SchedulerTimings
+import cleathitch.scheduler.api.logEvent
 import cleathitch.scheduler.jobs.JobTable
 import cleathitch.scheduler.model.ClockReading
 import cleathitch.scheduler.model.MachineId
@@ -43,11 +45,11 @@
     /** A worker kills its tasks when its lease expires, so they may be started elsewhere from then on. */
     private fun endExpiredLeases() {
         val nowMs = context.now.monotonicMs
-        for (machine in inventory.machines.values.toList()) {
-            if (nowMs >= machine.leaseEndMs) reconciler.recordTerminationOfAll(machine.id)
-        }
         for (id in jobTable.machinesInUse.toList()) {
-            if (id !in inventory.machines && nowMs >= registry.inheritedLeaseEndMs) reconciler.recordTerminationOfAll(id)
+            val leaseEndMs = inventory.machines[id]?.leaseEndMs ?: registry.inheritedLeaseEndMs
+            if (nowMs < leaseEndMs) continue
+            context.logEvent(LogLevel.DEBUG) { "event=worker_lease_expired machine=$id attempts=${jobTable.attemptsOn(id).size}" }
+            reconciler.recordTerminationOfAll(id)
         }
     }
 
--- a/src/main/kotlin/cleathitch/scheduler/machines/HeartbeatReconciler.kt
+++ b/src/main/kotlin/cleathitch/scheduler/machines/HeartbeatReconciler.kt
@@ -69,7 +69,9 @@
         // An attempt on an unreachable machine is abandoned because the machine may never receive the start command. Otherwise the
         // task would wait until the network partition heals.
         val isAbandoned = attempt.stopCause != null || !failureDetector.isReachable(machine)
-        if (isAbandoned && workerReconciler.isTerminationConfirmed(attempt, machine)) recordTermination(attempt)
+        if (!isAbandoned || !workerReconciler.isTerminationConfirmed(attempt, machine)) return
+        context.logEvent(LogLevel.DEBUG) { "event=attempt_missing ${describeEvidence(attempt, machine)}" }
+        recordTermination(attempt)
     }
 
     private fun recordState(machine: Machine, attempt: Attempt, task: TaskStatus) {
@@ -105,7 +107,7 @@
         }
         if (task.exitReason != ExitReason.DONE) {
             context.logEvent(LogLevel.DEBUG) {
-                "event=attempt_exited attempt=${attempt.id} machine=${machine.id} reason=${task.exitReason}"
+                "event=attempt_exited ${describeEvidence(attempt, machine)} reason=${task.exitReason}"
             }
         }
         recordTermination(attempt)
@@ -124,6 +126,10 @@
         if (job.completedIndex != null) context.logEvent(LogLevel.DEBUG) { "event=job_completed job=${job.id}" }
     }
 
+    /** The attempt and the heartbeat that shows its end, as key-value pairs for a log line. */
+    private fun describeEvidence(attempt: Attempt, machine: Machine) = "attempt=${attempt.id} machine=${machine.id} " +
+        "incarnation=${machine.incarnation} worker_token=${machine.highestSeenToken} inherited=${attempt.isInherited}"
+
     /** Increases the job's retry delay with each failure, up to the duration of a worker's lease. */
     private fun delayRetry(job: Job) {
         job.recordFailure(
