End an inherited attempt by its exit only with a token of this term

What users saw: a task ran on two machines at once (`ran_twice`), for as long as the first machine took to send its next heartbeat.

Cause: an exit in a heartbeat ended an attempt at once. The first heartbeat of a machine in a term may be a delayed one of an earlier incarnation of the worker. An earlier leader may have found the attempt missing in a later incarnation since, and have started it again on that machine, where it runs. Only for attempts that a heartbeat lacks were fencing token and incarnation compared.

Change: an exit other than `done` ends an inherited attempt only if the worker has reported a token of this term. From then on it rejects the starts of earlier leaders, and this leader starts an attempt only if the newest heartbeat lacks it. Until then the attempt counts as live, and the machine's commands hold a stop for it: it has no effect on an exited attempt and is valid in that incarnation only, but its token makes the next heartbeat the proof, also on machines whose heartbeats don't arrive. A result counts at once, whatever its age.

--- a/src/main/kotlin/cleathitch/scheduler/jobs/Attempt.kt
+++ b/src/main/kotlin/cleathitch/scheduler/jobs/Attempt.kt
@@ -42,6 +42,12 @@
     /** An upper bound on the tokens of all start commands in flight; null if none can have been sent yet. */
     val newestStartToken: FencingToken? get() = lastSentToken ?: inheritedToken
 
+    /**
+     * Whether a worker that has seen [token] rejects every start command that earlier leaders sent for the attempt. Always true if the
+     * attempt was created in this term.
+     */
+    fun isFencedFromEarlierTerms(token: FencingToken): Boolean = inheritedToken?.let { token >= it } ?: true
+
     /** Records the attempt's [state] in the machine's newest heartbeat, null if that doesn't report the attempt. */
     fun observe(state: TaskState?) {
         observedState = state
--- a/src/main/kotlin/cleathitch/scheduler/machines/HeartbeatReconciler.kt
+++ b/src/main/kotlin/cleathitch/scheduler/machines/HeartbeatReconciler.kt
@@ -79,7 +79,7 @@
         when (task.state) {
             TaskState.FETCHING -> Unit
             TaskState.WAITING, TaskState.RUNNING, TaskState.SAVING -> recordRunning(machine, attempt)
-            TaskState.EXITED -> recordExit(machine, attempt, task)
+            TaskState.EXITED -> recordExitIfConfirmed(machine, attempt, task)
         }
     }
 
@@ -90,6 +90,14 @@
         context.logEvent(LogLevel.DEBUG) { "event=attempt_running attempt=${attempt.id} machine=${machine.id}" }
     }
 
+    /** A completed task stays completed even if the heartbeat is a delayed one; any other exit has to be confirmed. */
+    private fun recordExitIfConfirmed(machine: Machine, attempt: Attempt, task: TaskStatus) {
+        if (task.exitReason == ExitReason.DONE || workerReconciler.isExitConfirmed(attempt, machine)) {
+            return recordExit(machine, attempt, task)
+        }
+        context.logEvent(LogLevel.DEBUG) { "event=exit_unconfirmed ${describeEvidence(attempt, machine)} reason=${task.exitReason}" }
+    }
+
     private fun recordExit(machine: Machine, attempt: Attempt, task: TaskStatus) {
         val job = attempt.job
         when (task.exitReason) {
--- a/src/main/kotlin/cleathitch/scheduler/machines/WorkerReconciler.kt
+++ b/src/main/kotlin/cleathitch/scheduler/machines/WorkerReconciler.kt
@@ -34,6 +34,13 @@
         if (outcomes.isEmpty()) outcomeRecords.remove(machine)
     }
 
+    /**
+     * Whether an attempt that the newest heartbeat reports as exited can no longer run. An exited attempt doesn't run again in the same
+     * incarnation, and this leader doesn't start it again. But the heartbeat may be a delayed one, and an earlier leader may have started
+     * the attempt again in a later incarnation, or may still do so. That is impossible once the worker has reported a token of this term.
+     */
+    fun isExitConfirmed(attempt: Attempt, machine: Machine): Boolean = attempt.isFencedFromEarlierTerms(machine.highestSeenToken)
+
     /**
      * Whether an attempt that the newest heartbeat doesn't report can no longer run. A start command in flight could still start it,
      * except in two cases, in which the worker rejects the command:
@@ -73,14 +80,20 @@
     private fun commandForReported(machine: Machine, task: TaskStatus): WorkerCommand? {
         val attempt = jobTable.attempt(task.attempt)?.takeIf { it.machine == machine.id }
         return when {
-            task.state == TaskState.EXITED ->
-                WorkerCommand.Forget(task.attempt).takeIf { attempt == null && isOutcomeCommitted(machine, task.attempt) }
-            attempt == null -> WorkerCommand.Stop(task.attempt, 0.0)
+            attempt == null -> commandForUnknown(machine, task)
+            // The exit isn't confirmed yet. The stop has no effect on an exited attempt, but its token fences off earlier start commands.
+            task.state == TaskState.EXITED -> WorkerCommand.Stop(attempt.id, 0.0)
             attempt.stopCause != null && mayStop(attempt) -> stopCommandFor(attempt, task.state)
             else -> null
         }
     }
 
+    private fun commandForUnknown(machine: Machine, task: TaskStatus): WorkerCommand? = if (task.state == TaskState.EXITED) {
+        WorkerCommand.Forget(task.attempt).takeIf { isOutcomeCommitted(machine, task.attempt) }
+    } else {
+        WorkerCommand.Stop(task.attempt, 0.0)
+    }
+
     private fun commandForMissing(machine: Machine, attempt: Attempt): WorkerCommand? = when {
         // The attempt isn't running, but the stop's token fences off a start command that is still in flight.
         attempt.stopCause != null ->
--- a/src/test/kotlin/cleathitch/scheduler/FakeMachine.kt
+++ b/src/test/kotlin/cleathitch/scheduler/FakeMachine.kt
@@ -33,7 +33,7 @@
 
     fun receive(answer: Effect.AnswerHeartbeat) = execute(answer.token, answer.commands)
 
-    fun exit(attempt: AttemptId, reason: ExitReason = ExitReason.DONE) {
+    fun exit(attempt: AttemptId, reason: ExitReason? = ExitReason.DONE) {
         tasks[attempt] = TaskStatus(attempt, TaskState.EXITED, reason)
     }
 
