Simulate delayed reports of failed tasks that were started again

Change: a fault schedule in which all running tasks fail while all controllers are down for longer than a worker's lease; the leader that starts them again is killed, and its successor first receives the heartbeats sent right after the failures. The runs of the other schedules are unchanged: nothing is drawn for the new fault where it is off.

--- a/src/test/kotlin/cleathitch/scheduler/simulation/FaultInjector.kt
+++ b/src/test/kotlin/cleathitch/scheduler/simulation/FaultInjector.kt
@@ -35,6 +35,7 @@
         injectPeriodically(faults.massCancellationEveryS) { cluster.users.cancelRunningJobs(hang = true) }
         injectPeriodically(faults.edgeCaseRequestsEveryS) { cluster.users.sendEdgeCaseRequests() }
         injectPeriodically(faults.allControllersDownEveryS) { killAllControllers() }
+        injectPeriodically(faults.delayedFailureReportsEveryS) { failTasksAndDelayReports() }
         if (faults.failoverThenOutageAtS > 0) events.schedule((faults.failoverThenOutageAtS * 1000).toLong(), ::failoverThenOutage)
         injectPeriodically(faults.machineHangEveryS) { randomWorker()?.hang() }
     }
@@ -84,6 +85,23 @@
         cluster.controllers.forEach { it.kill(downMs + random.nextLong(2000)) }
     }
 
+    /**
+     * Fails all running tasks and kills all controllers until the workers' leases have expired. The next leader is killed after it has
+     * started the tasks again; its successor receives the heartbeats that show the failures before any others, and for some seconds
+     * no others of a third of the machines.
+     */
+    private fun failTasksAndDelayReports() {
+        val delayedHeartbeats = cloud.machines.values.map { it.failTasks() }
+        val leaseMs = (cluster.deployment.workerLeaseS * 1000).toLong()
+        cluster.controllers.forEach { it.kill(leaseMs + random.nextLong(2000)) }
+        events.schedule(leaseMs + random.nextLong(MIN_RECOVERY_MS, MAX_RECOVERY_MS)) {
+            if (cluster.faultsEnded) return@schedule
+            cluster.firstHeartbeatsOfNextTerm += delayedHeartbeats
+            randomThirdOfWorkers().forEach { it.loseHeartbeats(untilMs = events.nowMs + HEARTBEAT_LOSS_MS) }
+            cluster.leader?.kill()
+        }
+    }
+
     /**
      * Isolates the leader from the key-value store. Once its successor leads, users cancel jobs, and an outage of the store begins
      * that outlasts the cancellation deadline.
@@ -104,6 +122,11 @@
 
     private companion object {
         const val ISOLATION_MS = 14_000L
+
+        /** Bounds on the time in which a new leader starts the tasks of expired workers' leases again. */
+        const val MIN_RECOVERY_MS = 10_000L
+        const val MAX_RECOVERY_MS = 16_000L
+        const val HEARTBEAT_LOSS_MS = 15_000L
         const val LEADER_POLL_INTERVAL_MS = 200L
         const val SUCCESSOR_POLL_INTERVAL_MS = 50L
     }
--- a/src/test/kotlin/cleathitch/scheduler/simulation/FaultSchedule.kt
+++ b/src/test/kotlin/cleathitch/scheduler/simulation/FaultSchedule.kt
@@ -49,6 +49,11 @@
     val edgeCaseRequestsEveryS: Double = 0.0,
     /** Kills all controllers at once. They may stay down for longer than a worker's lease. */
     val allControllersDownEveryS: Double = 0.0,
+    /**
+     * All running tasks fail while all controllers are down for longer than a worker's lease. The next leader starts them again and is
+     * killed; its successor first receives heartbeats that were sent right after the failures.
+     */
+    val delayedFailureReportsEveryS: Double = 0.0,
     /**
      * Time in seconds at which the leader is isolated from the key-value store; 0 disables the fault. Once its successor leads, users
      * cancel jobs, and then the store is unavailable for longer than `cancellationDeadlineS`.
--- a/src/test/kotlin/cleathitch/scheduler/simulation/FaultSchedules.kt
+++ b/src/test/kotlin/cleathitch/scheduler/simulation/FaultSchedules.kt
@@ -70,6 +70,7 @@
             allControllersDownEveryS = 50.0,
             massCancellationEveryS = 40.0,
         ),
+        "delayed reports of failed tasks that were started again" to FaultSchedule(messageDelay = 0.02, delayedFailureReportsEveryS = 60.0),
         "failover, then an outage of the key-value store" to FaultSchedule(failoverThenOutageAtS = 30.0),
         "failover, then an outage, with delayed messages and hanging machines" to FaultSchedule(
             messageDelay = 0.03,
--- a/src/test/kotlin/cleathitch/scheduler/simulation/SimulatedCluster.kt
+++ b/src/test/kotlin/cleathitch/scheduler/simulation/SimulatedCluster.kt
@@ -3,6 +3,7 @@
 import cleathitch.scheduler.api.SchedulerTimings
 import cleathitch.scheduler.machineType
 import cleathitch.scheduler.model.Deployment
+import cleathitch.scheduler.model.Heartbeat
 import cleathitch.scheduler.model.JobId
 import cleathitch.scheduler.model.JobKind
 import cleathitch.scheduler.model.JobSpec
@@ -42,6 +43,9 @@
     val network = SimulatedNetwork(events, random, faults) { faultsEnded }
     val store = SimulatedKeyValueStore<SimulatedController>(LEASE_TTL_MS) { events.nowMs }
     val pendingRequests = PendingRequests()
+
+    /** Delayed heartbeats that the next leader receives as soon as it leads. */
+    val firstHeartbeatsOfNextTerm = ArrayList<Heartbeat>()
     val controllers = List(CONTROLLER_COUNT) { SimulatedController(this, "node-$it", clockRate = 1 + (it - 1) * 0.0005) }
     val cloud = SimulatedCloud(this, maxMachines)
     val users = SimulatedUsers(this)
--- a/src/test/kotlin/cleathitch/scheduler/simulation/SimulatedController.kt
+++ b/src/test/kotlin/cleathitch/scheduler/simulation/SimulatedController.kt
@@ -132,6 +132,14 @@
         cluster.log("$name leads in term $term")
         handle(Input.LeaseRenewed(leaseEndMs))
         handle(Input.MachineTypesListed(listOf(cluster.machineType)))
+        receiveDelayedHeartbeats()
+    }
+
+    /** Nobody gets the answers: the workers have given up these heartbeats. */
+    private fun receiveDelayedHeartbeats() {
+        val delayed = cluster.firstHeartbeatsOfNextTerm.toList()
+        cluster.firstHeartbeatsOfNextTerm.clear()
+        delayed.forEach { handle(Input.HeartbeatReceived(cluster.pendingRequests.newRequestId(), it)) }
     }
 
     private fun renewLease() {
--- a/src/test/kotlin/cleathitch/scheduler/simulation/SimulatedTask.kt
+++ b/src/test/kotlin/cleathitch/scheduler/simulation/SimulatedTask.kt
@@ -29,6 +29,10 @@
         if (!hasExited) exit(ExitReason.STOPPED)
     }
 
+    fun fail() {
+        if (state == TaskState.RUNNING) exit(ExitReason.ERROR)
+    }
+
     private fun exit(reason: ExitReason) {
         state = TaskState.EXITED
         exitReason = reason
--- a/src/test/kotlin/cleathitch/scheduler/simulation/SimulatedWorker.kt
+++ b/src/test/kotlin/cleathitch/scheduler/simulation/SimulatedWorker.kt
@@ -68,6 +68,13 @@
         hangingUntilMs = nowMs + random.nextLong(maxMs)
     }
 
+    /** Fails the running tasks, and returns the heartbeat that shows this. */
+    fun failTasks(): Heartbeat {
+        advance()
+        tasks.values.forEach { it.fail() }
+        return heartbeat()
+    }
+
     /** Drops answers and commands sent to this machine, while its heartbeats still arrive. */
     fun loseReplies(untilMs: Long) {
         repliesLostUntilMs = untilMs
