--- a/src/test/kotlin/cleathitch/scheduler/DelayedHeartbeatsTest.kt
+++ b/src/test/kotlin/cleathitch/scheduler/DelayedHeartbeatsTest.kt
@@ -17,8 +17,8 @@
 import org.junit.jupiter.params.provider.NullSource
 
 /**
- * The first heartbeat of a machine that a new leader receives is a delayed one. It shows an attempt as exited that an earlier leader
- * has started again since then, on the same machine and in a later incarnation of the worker.
+ * The first heartbeat of a machine that a new leader receives is a delayed one. It shows an attempt as exited, or lacks it, that an
+ * earlier leader has started again since then, on the same machine.
  */
 class DelayedHeartbeatsTest : CombinedFaultsHarness(maxCpus = 4.0) {
     private val other = fakeMachine(2)
@@ -59,18 +59,19 @@
 
     /** Guards against `quota`: the cancelled tasks still run, so they use their team's limit until the machine reports their end. */
     @Test
-    fun `a delayed heartbeat doesn't free the quota of cancelled tasks that were started again`() {
-        val delayed = restartInNextIncarnation(ExitReason.ERROR, tasks = 2)
-        failOver()
-        cancel(1)
-        submit(2)
+    fun `a delayed heartbeat doesn't free the quota of cancelled tasks that were started again`() =
+        checkQuotaStaysInUse(restartInNextIncarnation(ExitReason.ERROR, tasks = 2))
 
-        val whileRunning = sendHeartbeat(delayed) + runPeriods(2, listOf(other))
-        repeat(2) { machine.sendHeartbeat() }
-        val afterStop = runPeriods(2, listOf(other))
+    /** Guards against `quota`, as above: the delayed heartbeat was sent in the tasks' incarnation, but before they were started again. */
+    @Test
+    fun `a delayed heartbeat that lacks cancelled tasks doesn't free their quota`() {
+        becomeLeaderWithFleet()
+        val attempts = startJob(1, tasks = 2)
+        expireLeaseWithoutControllers()
+        val delayed = machine.heartbeat()
+        startAgain(attempts)
 
-        assertEquals(emptyList<AttemptId>(), whileRunning.startedAttempts())
-        assertEquals(setOf(taskId(2)), afterStop.startedAttempts().mapTo(HashSet()) { it.task })
+        checkQuotaStaysInUse(delayed)
     }
 
     /** Guards against a lost result: results are kept outside the machine, so an old one is as good as a new one. */
@@ -88,10 +89,7 @@
     /** Guards against a task that waits for ever: the exit is believed once the worker rejects the commands of earlier leaders. */
     @Test
     fun `an inherited attempt ends when the machine reports its exit together with a fencing token of the new term`() {
-        becomeLeaderWithFleet()
-        val (attempt) = startJob(1)
-        machine.exit(attempt, ExitReason.ERROR)
-        failOver()
+        val attempt = failOverAfterExit(ExitReason.ERROR)
 
         val beforeToken = machine.sendHeartbeat() + runRounds(1)
         val afterToken = machine.sendHeartbeat() + runPeriods(2, listOf(machine, other))
@@ -117,10 +115,7 @@
     /** Guards against a task that waits for ever: answers to heartbeats, which carry the fencing token, don't reach the machine. */
     @Test
     fun `an inherited attempt that has exited on a machine without heartbeats ends after a direct command`() {
-        becomeLeaderWithFleet()
-        val (attempt) = startJob(1)
-        machine.exit(attempt, ExitReason.STOPPED)
-        failOver()
+        val attempt = failOverAfterExit(ExitReason.STOPPED)
 
         deliver(machine.answerProbe().directCalls())
 
@@ -143,13 +138,23 @@
         assertEquals(setOf(AttemptId(attempt.task, 2)), afterTermination.startedAttempts().toSet())
     }
 
+    /** Guards against a task that waits for ever, as above: the cloud provider doesn't confirm the termination. */
+    @Test
+    fun `the task of a machine that died after its delayed heartbeat is started elsewhere once the lease has expired`() {
+        val delayed = restartInNextIncarnation(ExitReason.ERROR)
+        val attempt = machine.attempts.single()
+        failOver()
+        sendHeartbeat(delayed)
+
+        val effects = runPeriods(periodsUntilLeaseExpiry + 3, listOf(other))
+
+        assertEquals(setOf(AttemptId(attempt.task, 2)), effects.startedAttempts().toSet())
+    }
+
     /** Guards against a task that waits for ever: the machine's heartbeats arrive, but it never reports a token of the new term. */
     @Test
     fun `the task of a machine that reports an exit and misses all replies is started elsewhere`() {
-        becomeLeaderWithFleet()
-        val (attempt) = startJob(1)
-        machine.exit(attempt, ExitReason.ERROR)
-        failOver()
+        val attempt = failOverAfterExit(ExitReason.ERROR)
 
         val whileMissing = (1..5).flatMap { machine.sendHeartbeat(missesReplies = true) + runPeriods(1, listOf(other)) }
         val afterTermination = step(Input.MachinesTerminated(listOf(machine.id))) + runPeriods(2, listOf(other))
@@ -159,6 +164,15 @@
         assertEquals(setOf(AttemptId(attempt.task, 2)), afterTermination.startedAttempts().toSet())
     }
 
+    /** Starts job 1 on the machine, where its task exits for [reason], and replaces the leader before the machine's next heartbeat. */
+    private fun failOverAfterExit(reason: ExitReason): AttemptId {
+        becomeLeaderWithFleet()
+        val (attempt) = startJob(1)
+        machine.exit(attempt, reason)
+        failOver()
+        return attempt
+    }
+
     /** The next leader receives the delayed heartbeat through [deliver], before any other heartbeat of the machine. */
     private fun checkNotStartedElsewhere(reason: ExitReason?, deliver: (Heartbeat) -> List<Effect>) {
         val delayed = restartInNextIncarnation(reason)
@@ -171,21 +185,45 @@
         assertEquals(emptyList<AttemptId>(), machine.sendHeartbeat().stoppedAttempts())
     }
 
+    /** The two tasks of job 1 use the team's limit. The next leader cancels them and receives [delayed]; they run until it stops them. */
+    private fun checkQuotaStaysInUse(delayed: Heartbeat) {
+        failOver()
+        cancel(1)
+        submit(2)
+
+        val whileRunning = sendHeartbeat(delayed) + runPeriods(2, listOf(other))
+        repeat(2) { machine.sendHeartbeat() }
+        val afterStop = runPeriods(2, listOf(other))
+
+        assertEquals(emptyList<AttemptId>(), whileRunning.startedAttempts())
+        assertEquals(setOf(taskId(2)), afterStop.startedAttempts().mapTo(HashSet()) { it.task })
+    }
+
     /**
-     * Starts job 1 on the machine, where its tasks exit for [reason]. All controllers are down for longer than the worker's lease;
-     * then a leader starts the same attempts again. Returns the heartbeat with the exits, which no leader has received.
+     * Starts job 1 on the machine, where its tasks exit for [reason]; their worker's lease expires, and they are started again. Returns
+     * the heartbeat with the exits, which no leader has received.
      */
     private fun restartInNextIncarnation(reason: ExitReason?, tasks: Int = 1): Heartbeat {
         becomeLeaderWithFleet()
         val attempts = startJob(1, tasks)
         attempts.forEach { machine.exit(it, reason) }
         val delayed = machine.heartbeat()
+        expireLeaseWithoutControllers()
+        startAgain(attempts)
+        return delayed
+    }
+
+    /** All controllers are down for longer than the worker's lease. */
+    private fun expireLeaseWithoutControllers() {
         advanceTo(nowMs + workerLeaseMs * 2)
         machine.expireLease()
+    }
+
+    /** A new leader starts [attempts] again, on the same machine. */
+    private fun startAgain(attempts: List<AttemptId>) {
         failOver()
         machine.sendHeartbeat()
         assertEquals(attempts.toSet(), machine.attempts)
-        return delayed
     }
 
     private fun assertNoOtherAttempt(attempt: AttemptId, effects: List<Effect>) =
