Log and count rejected commits apart from those of unknown fate

A commit that the key-value store rejects for its content was logged like an outage: one line without sizes, then nothing. CompareAndSwapResult now has Rejected (400, 413), Unavailable (429, 503: not carried out) and Unknown; each attempt is counted in log.commit.attempts by outcome, and a failing one is logged with the largest key, each size in the JSON form and its limit, again each time the number of attempts has doubled. The content of a commit is encoded once for all its attempts. Statuses other than those are unknown outcomes, no longer refusals.

No change of behaviour yet: a rejected commit is still repeated.

--- a/src/main/kotlin/cleathitch/controller/Controller.kt
+++ b/src/main/kotlin/cleathitch/controller/Controller.kt
@@ -10,6 +10,7 @@
 import cleathitch.peers.PeerClient
 import cleathitch.peers.WorkerCommandDelivery
 import cleathitch.scheduler.api.Effect
+import cleathitch.scheduler.model.Term
 import cleathitch.storage.KeyValueStoreClient
 import cleathitch.storage.LogStorage
 import cleathitch.workers.WorkerDistribution
@@ -93,7 +94,7 @@
         return LeaderTerm(
             lease,
             dependencies,
-            LogStorage(store, LOG_KEY_PREFIX, LEADER_KEY, term, processingTimes, monotonicMs),
+            newLogStorage(term),
             machineTypes.machineTypes,
             imageCacheHints.snapshot(),
             newDelivery = { enqueue -> WorkerCommandDelivery(routes, resultTimeoutMs = heartbeatPeriodMs, monotonicMs, enqueue) },
@@ -102,6 +103,17 @@
         )
     }
 
+    private fun newLogStorage(term: Term) = LogStorage(
+        store,
+        LOG_KEY_PREFIX,
+        LEADER_KEY,
+        term,
+        settings.deployment.storeLimits,
+        processingTimes,
+        dependencies.meterRegistry,
+        monotonicMs,
+    )
+
     companion object {
         /** The key that the leader holds, bound to its lease. */
         const val LEADER_KEY = "leader/cleathitch"
--- a/src/main/kotlin/cleathitch/election/LeaderElection.kt
+++ b/src/main/kotlin/cleathitch/election/LeaderElection.kt
@@ -1,7 +1,9 @@
 package cleathitch.election
 
 import cleathitch.http.ServiceResult
+import cleathitch.metrics.logValue
 import cleathitch.protocol.KeyValueStoreProtocol
+import cleathitch.protocol.Transaction
 import cleathitch.scheduler.api.SchedulerTimings
 import cleathitch.scheduler.model.Term
 import cleathitch.storage.CompareAndSwapResult
@@ -108,13 +110,17 @@
             is CompareAndSwapResult.Refused, CompareAndSwapResult.LeaseNotFound -> store.revokeLease(lease)
             // The next read of the leader's key shows whether this controller holds it.
             is CompareAndSwapResult.Unavailable, is CompareAndSwapResult.Unknown -> delayBeforeRetry()
+            is CompareAndSwapResult.Rejected -> {
+                log.error("event=campaign_rejected reason={}", logValue(result.reason))
+                delayBeforeRetry()
+            }
         }
     }
 
     private suspend fun claimLeaderKey(lease: Long): CompareAndSwapResult {
         val record = LeaderRecord(member, incarnation, lease).encode()
         val put = KeyValueStoreProtocol.Write.Put(leaderKey, record, lease)
-        return store.compareAndSwap(mapOf(leaderKey to KEY_ABSENT), listOf(put))
+        return store.compareAndSwap(Transaction(mapOf(leaderKey to KEY_ABSENT), listOf(put)))
     }
 
     /** Leads [term] under the lease [leaseId] until the term ends. */
--- a/src/main/kotlin/cleathitch/protocol/KeyValueStoreProtocol.kt
+++ b/src/main/kotlin/cleathitch/protocol/KeyValueStoreProtocol.kt
@@ -61,28 +61,5 @@
     /** Encodes a request for a lease with a time to live of [ttlMs] milliseconds. */
     fun leaseRequest(ttlMs: Long): ByteArray = MessageCodec.encode(MessageCodec.newMap().put("ttlMs", ttlMs))
 
-    /**
-     * Encodes a compare-and-swap: a transaction that the store rejects unless each key in [expectedRevisions] has the revision given there.
-     * Revision 0 means that the key must not exist.
-     */
-    fun transaction(expectedRevisions: Map<String, Long>, writes: List<Write>): ByteArray {
-        val map = MessageCodec.newMap()
-        val conditions = map.putArray("guards")
-        expectedRevisions.forEach { (key, revision) -> conditions.addObject().put("k", key).put("retoque", revision) }
-        val changes = map.putArray("apply")
-        writes.forEach { putWrite(changes.addObject(), it) }
-        return MessageCodec.encode(map)
-    }
-
-    private fun putWrite(node: ObjectNode, write: Write) {
-        when (write) {
-            is Write.Put -> {
-                node.put("put", write.key).set<ObjectNode>("data", write.value)
-                if (write.lease != null) node.put("arriendo", write.lease)
-            }
-            is Write.Delete -> node.put("delete", write.key)
-        }
-    }
-
     private fun entryOf(node: JsonNode) = Entry(node.requiredText("k"), node.requiredField("data"), node.requiredLong("retoque"))
 }
--- a/src/main/kotlin/cleathitch/protocol/MessageCodec.kt
+++ b/src/main/kotlin/cleathitch/protocol/MessageCodec.kt
@@ -22,6 +22,7 @@
  */
 object MessageCodec {
     private val mapper = ObjectMapper(MessagePackFactory()).enable(DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY)
+    private val jsonMapper = ObjectMapper()
 
     /** The maximum size of the body of a worker's or user's request, in bytes. */
     const val MAX_BODY_BYTES = 64 * 1024
@@ -32,6 +33,9 @@
     /** Encodes [node] as MessagePack. */
     fun encode(node: JsonNode): ByteArray = mapper.writeValueAsBytes(node)
 
+    /** The number of bytes of [node] as JSON, the form in which size limits are counted. */
+    fun jsonBytes(node: JsonNode): Int = jsonMapper.writeValueAsBytes(node).size
+
     /** Decodes a body that must be exactly one MessagePack map; throws [MalformedMessageException] for anything else. */
     fun decodeMap(bytes: ByteArray): ObjectNode {
         if (bytes.isEmpty()) throw MalformedMessageException("the body is empty")
--- a/src/main/kotlin/cleathitch/scheduler/model/Deployment.kt
+++ b/src/main/kotlin/cleathitch/scheduler/model/Deployment.kt
@@ -27,4 +27,7 @@
     val machineListLagS: Double,
     /** Number of controllers. */
     val controllerCount: Int,
-)
+) {
+    /** The limits of the key-value store on one transaction. */
+    val storeLimits get() = StoreLimits(StoreLimits.MAX_TRANSACTION_BYTES, maxStoredValueBytes, maxTransactionOps)
+}
--- a/src/main/kotlin/cleathitch/storage/KeyValueStoreClient.kt
+++ b/src/main/kotlin/cleathitch/storage/KeyValueStoreClient.kt
@@ -6,6 +6,7 @@
 import cleathitch.http.ServiceError
 import cleathitch.http.ServiceResult
 import cleathitch.protocol.KeyValueStoreProtocol
+import cleathitch.protocol.Transaction
 import cleathitch.protocol.decodeBody
 import cleathitch.protocol.decodeResponse
 import io.micrometer.core.instrument.MeterRegistry
@@ -40,32 +41,31 @@
         return read(call(HttpMethod.GET, path, null, timeoutMs * LIST_TIMEOUT_FACTOR)) { KeyValueStoreProtocol.page(it) }
     }
 
-    /**
-     * Applies all of [writes] atomically if every key in [expectedRevisions] has the given revision, and none otherwise. Revision 0
-     * means that the key does not exist.
-     */
-    suspend fun compareAndSwap(expectedRevisions: Map<String, Long>, writes: List<KeyValueStoreProtocol.Write>): CompareAndSwapResult {
-        val body = KeyValueStoreProtocol.transaction(expectedRevisions, writes)
-        return when (val result = call(HttpMethod.POST, "/txn", body, timeoutMs)) {
+    /** Applies all writes of [transaction] atomically if every key that it names has the expected revision, and none otherwise. */
+    suspend fun compareAndSwap(transaction: Transaction): CompareAndSwapResult =
+        when (val result = call(HttpMethod.POST, "/txn", transaction.body, timeoutMs)) {
             is CallResult.Failed -> CompareAndSwapResult.Unknown(ServiceError.NoResponse(result.failure))
             is CallResult.Answered -> when (val decoded = decodeBody(result.body) { compareAndSwapResult(result) }) {
                 is ServiceResult.Success -> decoded.value
                 is ServiceResult.Failure -> CompareAndSwapResult.Unknown(decoded.error.also(::logIfMalformed))
             }
         }
-    }
 
     private fun compareAndSwapResult(response: CallResult.Answered): CompareAndSwapResult = when (response.status) {
         HTTP_OK -> CompareAndSwapResult.Applied(KeyValueStoreProtocol.revision(response.body))
         HTTP_CONFLICT -> CompareAndSwapResult.Refused(KeyValueStoreProtocol.failedKeys(response.body))
         HTTP_BAD_REQUEST -> rejected(KeyValueStoreProtocol.errorText(response.body))
-        else -> CompareAndSwapResult.Unavailable("unexpected status ${response.status}")
+        HTTP_CONTENT_TOO_LARGE -> CompareAndSwapResult.Rejected("status $HTTP_CONTENT_TOO_LARGE")
+        HTTP_TOO_MANY_REQUESTS, HTTP_UNAVAILABLE -> CompareAndSwapResult.Unavailable(response.status)
+        else -> CompareAndSwapResult.Unknown(ServiceError.UnexpectedStatus(response.status))
     }
 
-    private fun rejected(error: String?): CompareAndSwapResult {
-        if (error == LEASE_NOT_FOUND_ERROR) return CompareAndSwapResult.LeaseNotFound
-        log.error("event=compare_and_swap_rejected error=\"{}\"", error)
-        return CompareAndSwapResult.Unavailable("request rejected with status $HTTP_BAD_REQUEST: $error")
+    private fun rejected(error: String?): CompareAndSwapResult = if (error ==
+        LEASE_NOT_FOUND_ERROR
+    ) {
+        CompareAndSwapResult.LeaseNotFound
+    } else {
+        CompareAndSwapResult.Rejected(error ?: "no reason given")
     }
 
     /** Requests a new lease with the time to live [ttlMs], and returns its id. */
@@ -128,6 +128,9 @@
         const val HTTP_BAD_REQUEST = 400
         const val HTTP_NOT_FOUND = 404
         const val HTTP_CONFLICT = 409
+        const val HTTP_CONTENT_TOO_LARGE = 413
+        const val HTTP_TOO_MANY_REQUESTS = 429
+        const val HTTP_UNAVAILABLE = 503
         val REVOKED_STATUSES = setOf(HTTP_OK, HTTP_NO_CONTENT, HTTP_NOT_FOUND)
 
         /** The key-value store's error text for a write that refers to a lease that does not exist. */
--- a/src/main/kotlin/cleathitch/storage/LogStorage.kt
+++ b/src/main/kotlin/cleathitch/storage/LogStorage.kt
@@ -6,11 +6,14 @@
 import cleathitch.metrics.ProcessingTimes
 import cleathitch.protocol.KeyValueStoreProtocol
 import cleathitch.protocol.MalformedMessageException
+import cleathitch.protocol.Transaction
 import cleathitch.scheduler.log.Commit
 import cleathitch.scheduler.log.LogKeys
 import cleathitch.scheduler.log.Mutation
 import cleathitch.scheduler.log.RecoveredState
+import cleathitch.scheduler.model.StoreLimits
 import cleathitch.scheduler.model.Term
+import io.micrometer.core.instrument.MeterRegistry
 import kotlinx.coroutines.delay
 import org.slf4j.LoggerFactory
 
@@ -27,7 +30,9 @@
     private val keyPrefix: String,
     private val leaderKey: String,
     private val term: Term,
+    private val limits: StoreLimits,
     private val processingTimes: ProcessingTimes,
+    private val meterRegistry: MeterRegistry,
     private val monotonicMs: () -> Long,
 ) {
     private class LogContents(val entries: List<KeyValueStoreProtocol.Entry>, val pages: Int)
@@ -97,32 +102,26 @@
 
     /** Writes [commit], resending the same content until it is certain whether it was applied. */
     suspend fun commit(commit: Commit): CommitResult {
-        val expectedRevisions = mapOf(leaderKey to term.revision, headKey to headRevision)
-        val writes = processingTimes.measure(ProcessingStage.COMMIT_ENCODING) { commit.changes.flatMap(::writesOf) }
-        val startedAtMs = monotonicMs()
-        var attempt = 1
+        val transaction = processingTimes.measure(ProcessingStage.COMMIT_ENCODING) {
+            Transaction(mapOf(leaderKey to term.revision, headKey to headRevision), commit.changes.flatMap(::writesOf))
+        }
+        val attempts = CommitAttempts(term, commit.index, { transaction.size }, limits, meterRegistry, monotonicMs)
         while (true) {
-            when (val result = store.compareAndSwap(expectedRevisions, writes)) {
-                is CompareAndSwapResult.Applied -> return committed(commit, result.revision, attempt, startedAtMs)
-                is CompareAndSwapResult.Refused -> {
-                    val revision = revisionOfEarlierAttempt(commit) ?: return CommitResult.Refused(result.failedKeys)
-                    return committed(commit, revision, attempt, startedAtMs)
-                }
-                is CompareAndSwapResult.LeaseNotFound, is CompareAndSwapResult.Unavailable, is CompareAndSwapResult.Unknown -> {
-                    if (attempt == 1) logUnconfirmed(commit, result)
-                    delay(RETRY_DELAY_MS)
-                }
+            val result = store.compareAndSwap(transaction)
+            attempts.record(result)
+            when (result) {
+                is CompareAndSwapResult.Applied -> return committed(result.revision)
+                is CompareAndSwapResult.Refused ->
+                    return revisionOfEarlierAttempt(commit)?.let(::committed) ?: CommitResult.Refused(result.failedKeys)
+                is CompareAndSwapResult.LeaseNotFound, is CompareAndSwapResult.Rejected,
+                is CompareAndSwapResult.Unavailable, is CompareAndSwapResult.Unknown,
+                -> delay(RETRY_DELAY_MS)
             }
-            attempt++
         }
     }
 
-    private fun committed(commit: Commit, revision: Long, attempt: Int, startedAtMs: Long): CommitResult {
+    private fun committed(revision: Long): CommitResult {
         headRevision = revision
-        if (attempt > 1) {
-            val durationMs = monotonicMs() - startedAtMs
-            log.info("term={} event=committed index={} attempt={} duration_ms={}", term.revision, commit.index.number, attempt, durationMs)
-        }
         return CommitResult.Committed(revision)
     }
 
@@ -168,10 +167,6 @@
         log.info("term={} event=log_read_failed page={} failure=\"{}\"", term.revision, page, error)
     }
 
-    private fun logUnconfirmed(commit: Commit, result: CompareAndSwapResult) {
-        log.info("term={} event=commit_unconfirmed index={} result=\"{}\"", term.revision, commit.index.number, result)
-    }
-
     private companion object {
         val log = LoggerFactory.getLogger("cleathitch.state")
 
--- a/src/test/kotlin/cleathitch/architecture/PackageDependenciesTest.kt
+++ b/src/test/kotlin/cleathitch/architecture/PackageDependenciesTest.kt
@@ -95,7 +95,7 @@
             config:              http scheduler.model
             protocol:            http scheduler.model scheduler.log scheduler.api
             storage:             http metrics protocol scheduler.model scheduler.log
-            election:            http protocol storage scheduler.model scheduler.api
+            election:            http metrics protocol storage scheduler.model scheduler.api
             cloud:               http metrics protocol scheduler.model scheduler.log scheduler.api
             workers:             http protocol scheduler.model scheduler.api
             peers:               http protocol workers scheduler.model scheduler.api
