Plan no commit over a limit, however many attempts a job has

Change: StoredSizes gives the sizes of the encoded form, TransactionSpace holds a commit to bytes and operations of the limits, conditions included. Every commit is one transaction as before, and no stored form is new. A record that names more machine types than a value holds keeps those that the cloud offers. Machine names have the length limit of other names.

The simulated stores of scheduler tests refuse any commit over a limit, to the byte.

--- a/src/main/kotlin/cleathitch/leader/LeaderTerm.kt
+++ b/src/main/kotlin/cleathitch/leader/LeaderTerm.kt
@@ -14,7 +14,6 @@
 import cleathitch.scheduler.model.MachineId
 import cleathitch.scheduler.model.MachineType
 import cleathitch.storage.LogStorage
-import cleathitch.storage.StoredSizeEstimator
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -126,7 +125,7 @@
         term,
         recovered,
         clocks.clockReading(),
-        StoredSizeEstimator,
+        storage.sizes,
         logLevel = when {
             log.isDebugEnabled -> LogLevel.DEBUG
             log.isInfoEnabled -> LogLevel.INFO
--- a/src/main/kotlin/cleathitch/protocol/CloudProtocol.kt
+++ b/src/main/kotlin/cleathitch/protocol/CloudProtocol.kt
@@ -24,7 +24,7 @@
     /** Decodes the machine types that the cloud offers. */
     fun machineTypes(body: ByteArray): List<MachineType> = MessageCodec.decodeMap(body).requiredList("hornadas").map {
         MachineType(
-            name = it.requiredText("label"),
+            name = it.requiredName("label"),
             cpus = it.requiredDouble("vcpus"),
             gpus = it.requiredDouble("gpus"),
             memoryGb = it.requiredDouble("memoryGb"),
@@ -64,9 +64,9 @@
     }
 
     private fun listed(node: JsonNode) = ListedMachine(
-        MachineId(node.requiredText("nameId")),
+        MachineId(node.requiredName("nameId")),
         node.requiredText("addr"),
-        Offer(node.requiredText("hornada"), node.requiredText("comarca"), node.requiredBoolean("prestados")),
+        Offer(node.requiredName("hornada"), node.requiredName("comarca"), node.requiredBoolean("prestados")),
         node.requiredEnum("estado", listedStates),
         node.requiredDouble("heldS"),
     )
--- a/src/main/kotlin/cleathitch/protocol/MessageFields.kt
+++ b/src/main/kotlin/cleathitch/protocol/MessageFields.kt
@@ -20,6 +20,21 @@
 /** Returns the string value of the field. */
 internal fun JsonNode.requiredText(name: String): String = optionalText(name) ?: throw MalformedMessageException("$name is missing")
 
+/**
+ * The maximum length of a name that is received: of a job's class, a team, an image, a machine, a machine type or a zone. Names are
+ * stored, so a longer one could make a record too large for the key-value store.
+ */
+internal const val MAX_NAME_LENGTH = 256
+
+/** Returns the string value of the field, which must have from 1 to [MAX_NAME_LENGTH] characters. */
+internal fun JsonNode.requiredName(name: String): String {
+    val text = requiredText(name)
+    if (text.isEmpty() || text.length > MAX_NAME_LENGTH) {
+        throw MalformedMessageException("$name must have from 1 to $MAX_NAME_LENGTH characters, but has ${text.length}")
+    }
+    return text
+}
+
 /** Returns the string value of the field, or null if it is missing or null. */
 internal fun JsonNode.optionalText(name: String): String? {
     val node = optionalField(name) ?: return null
--- a/src/main/kotlin/cleathitch/protocol/UserProtocol.kt
+++ b/src/main/kotlin/cleathitch/protocol/UserProtocol.kt
@@ -15,7 +15,6 @@
     private val jobIdPattern = Regex("j-[0-9]{1,18}")
     private const val MAX_TASKS = 100_000L
     private val taskCountRange = 1..MAX_TASKS
-    private const val MAX_NAME_LENGTH = 256
     private const val MAX_MACHINE_TYPES = 256
 
     /** Larger amounts are rejected as mistakes. Up to this bound, sums over all tasks are precise enough in floating point. */
@@ -42,15 +41,15 @@
             id = jobId(map.requiredText("nameId")) ?: throw MalformedMessageException(
                 "nameId must be of the form j-000412, but is ${map.requiredText("nameId").take(MAX_QUOTED_LENGTH)}",
             ),
-            className = requiredName(map, "cuadrilla"),
-            team = requiredName(map, "ownerCrew"),
+            className = map.requiredName("cuadrilla"),
+            team = map.requiredName("ownerCrew"),
             kind = kind(map.requiredText("oficio")),
             priority = priority(map.requiredText("urgencia")),
             tasks = taskCount(map),
             cpus = requiredAmount(map, "vcpus"),
             gpus = requiredAmount(map, "gpus"),
             memoryGb = requiredAmount(map, "memoryGb"),
-            image = requiredName(map, "imagen"),
+            image = map.requiredName("imagen"),
             imageGb = requiredAmount(map, "pullGb"),
             allowedTypes = machineTypes,
             zone = map.optionalText("comarca"),
@@ -150,14 +149,6 @@
         JobState.CANCELLED -> "withdrawn"
     }
 
-    private fun requiredName(map: JsonNode, field: String): String {
-        val text = map.requiredText(field)
-        if (text.isEmpty() || text.length > MAX_NAME_LENGTH) {
-            throw MalformedMessageException("$field must have from 1 to $MAX_NAME_LENGTH characters, but has ${text.length}")
-        }
-        return text
-    }
-
     private fun requiredAmount(map: JsonNode, field: String): Double {
         val value = map.requiredDouble(field)
         if (value < 0 || value > MAX_AMOUNT) throw MalformedMessageException("$field must be from 0 to $MAX_AMOUNT, but is $value")
--- a/src/main/kotlin/cleathitch/protocol/WorkerProtocol.kt
+++ b/src/main/kotlin/cleathitch/protocol/WorkerProtocol.kt
@@ -38,10 +38,10 @@
     fun heartbeat(body: ByteArray): Heartbeat {
         val map = MessageCodec.decodeMap(body)
         return Heartbeat(
-            machine = MachineId(map.requiredText("burro")),
+            machine = MachineId(map.requiredName("burro")),
             address = map.requiredText("addr"),
-            type = map.requiredText("hornada"),
-            zone = map.requiredText("comarca"),
+            type = map.requiredName("hornada"),
+            zone = map.requiredName("comarca"),
             spot = map.requiredBoolean("prestados"),
             incarnation = map.requiredLong("jornada"),
             sequenceNumber = map.requiredLong("folio"),
--- a/src/main/kotlin/cleathitch/scheduler/LogWriter.kt
+++ b/src/main/kotlin/cleathitch/scheduler/LogWriter.kt
@@ -1,8 +1,10 @@
 package cleathitch.scheduler
 
 import cleathitch.scheduler.api.Effect
+import cleathitch.scheduler.api.LogLevel
 import cleathitch.scheduler.api.SchedulerContext
 import cleathitch.scheduler.api.SchedulerTimings
+import cleathitch.scheduler.api.logEvent
 import cleathitch.scheduler.jobs.JobTable
 import cleathitch.scheduler.log.DecisionLog
 import cleathitch.scheduler.log.Event
@@ -70,8 +72,9 @@
         val isDue = isUrgent || nowMs - lastWriteMs >= timings.roundPeriodMs
         val mayWriteEvents = decisionLog.hasPendingRecords && isDue && allowed >= EVENT_COMMIT_CHANGES
         if (!mayWriteEvents && !mayCompact) return
-        val commit = decisionLog.nextCommit(term, jobTable, inventory::snapshot, if (mayCompact) compactionChanges else 0) ?: return
-        if (mayCompact) isCompacting = decisionLog.isCompactionIncomplete
+        val commit = decisionLog.nextCommit(term, jobTable, inventory::snapshot, if (mayCompact) compactionChanges else 0)
+        if (mayCompact) endCompactionIfComplete()
+        if (commit == null) return
         budget.consume(commit.changes.sumOf { if (it is Mutation.Put) it.parts else 1 })
         lastWriteMs = nowMs
         isUrgent = decisionLog.hasPendingRecords
@@ -79,6 +82,13 @@
         context.emit(Effect.Write(commit))
     }
 
+    private fun endCompactionIfComplete() {
+        isCompacting = decisionLog.isCompactionIncomplete
+        for (value in decisionLog.oversizedValues) {
+            context.logEvent(LogLevel.ERROR) { "event=value_too_large key=${value.key} bytes=${value.bytes} limit=${value.maxBytes}" }
+        }
+    }
+
     /** Called when the key-value store has applied the commit in flight, whose index is [index]. */
     fun recordCommit(index: LogIndex) {
         decisionLog.recordCommitted(index, jobTable)
--- a/src/main/kotlin/cleathitch/scheduler/Scheduler.kt
+++ b/src/main/kotlin/cleathitch/scheduler/Scheduler.kt
@@ -16,7 +16,7 @@
 import cleathitch.scheduler.log.Event
 import cleathitch.scheduler.log.LogIndex
 import cleathitch.scheduler.log.RecoveredState
-import cleathitch.scheduler.log.SizeEstimator
+import cleathitch.scheduler.log.StoredSizes
 import cleathitch.scheduler.machines.CommandDispatcher
 import cleathitch.scheduler.machines.DirectReachability
 import cleathitch.scheduler.machines.FailureDetector
@@ -48,7 +48,7 @@
     term: Term,
     recovered: RecoveredState,
     start: ClockReading,
-    sizes: SizeEstimator,
+    sizes: StoredSizes,
     /**
      * The least severe level that is logged. Less severe log lines aren't formatted at all, because formatting one for every state
      * change of every task is costly.
@@ -65,7 +65,7 @@
     private val inventory = Inventory(deployment)
     private val scaleInCandidates = ScaleInCandidates(deployment, inventory, jobTable)
     private val quota = Quota(deployment.teams, jobTable)
-    private val decisionLog = DecisionLog(deployment, sizes)
+    private val decisionLog = DecisionLog(deployment.storeLimits, sizes)
     private val lease = TermLease(context, timings, inventory, start, isFirstTerm = recovered.head == LogIndex.NONE)
     private val logWriter = LogWriter(context, deployment, timings, term, decisionLog, jobTable, inventory, start)
 
--- a/src/main/kotlin/cleathitch/scheduler/jobs/Attempt.kt
+++ b/src/main/kotlin/cleathitch/scheduler/jobs/Attempt.kt
@@ -10,7 +10,11 @@
  * One execution attempt of a task. While the attempt is live, that is until its termination is confirmed, it counts towards quota,
  * spread and the machine's load, and the task isn't started again. Owned by [JobTable]; confined to the leader's event loop.
  */
-class Attempt(val id: AttemptId, val job: Job, val machine: MachineId, val startIndex: LogIndex) {
+class Attempt(val id: AttemptId, val job: Job, val machine: MachineId, startIndex: LogIndex) {
+    /** The record that contains the start; for an attempt restored from a snapshot, the last record that the snapshot includes. */
+    var startIndex = startIndex
+        private set
+
     /** The attempt's state in the machine's newest heartbeat, null if that doesn't report the attempt. */
     var observedState: TaskState? = null
         private set
@@ -64,6 +68,11 @@
         lastSentIncarnation = incarnation
     }
 
+    /** Records that compaction has moved the start to record [index], which is committed. */
+    fun relocateStart(index: LogIndex) {
+        startIndex = index
+    }
+
     /** Marks the attempt as to be stopped; a later cause replaces an earlier one. */
     fun requestStop(cause: StopCause) {
         stopCause = cause
--- a/src/main/kotlin/cleathitch/scheduler/jobs/JobTable.kt
+++ b/src/main/kotlin/cleathitch/scheduler/jobs/JobTable.kt
@@ -7,6 +7,7 @@
 import cleathitch.scheduler.log.JobSnapshot
 import cleathitch.scheduler.log.LiveAttempt
 import cleathitch.scheduler.log.LogIndex
+import cleathitch.scheduler.log.LoggedAttempt
 import cleathitch.scheduler.log.LoggedJobs
 import cleathitch.scheduler.model.AttemptId
 import cleathitch.scheduler.model.JobId
@@ -89,7 +90,15 @@
     override fun compact(id: JobId, lastIncludedIndex: LogIndex): CompactedJob {
         val job = jobsById[id] ?: return CompactedJob.Archived
         if (isArchivable(job)) return CompactedJob.Finished(id, finalStateOf(job))
-        return CompactedJob.Open(snapshotOf(job, lastIncludedIndex))
+        val attempts = job.liveAttempts.values.sortedBy { it.startIndex }
+        return CompactedJob.Open(snapshotWithoutAttempts(job, lastIncludedIndex), attempts.size, attempts.asSequence().map(::loggedAttempt))
+    }
+
+    private fun loggedAttempt(attempt: Attempt) =
+        LoggedAttempt(LiveAttempt(attempt.id.task.index, attempt.id.number, attempt.machine), attempt.startIndex)
+
+    override fun relocateStart(start: Event.AttemptStarted, index: LogIndex) {
+        attempt(AttemptId(TaskId(start.job, start.taskIndex), start.number))?.relocateStart(index)
     }
 
     override fun archive(id: JobId) {
@@ -102,13 +111,13 @@
     private fun isArchivable(job: Job) = job.isTerminal && job.liveAttempts.isEmpty()
     private fun finalStateOf(job: Job) = if (job.isCancelled) FinalState.CANCELLED else FinalState.DONE
 
-    private fun snapshotOf(job: Job, lastIncludedIndex: LogIndex) = JobSnapshot(
+    private fun snapshotWithoutAttempts(job: Job, lastIncludedIndex: LogIndex) = JobSnapshot(
         lastIncludedIndex,
         job.spec,
         job.acceptedAtWallMs,
         job.isCancelled,
         job.completedTaskBits(),
-        job.liveAttempts.values.map { LiveAttempt(it.id.task.index, it.id.number, it.machine) },
+        liveAttempts = emptyList(),
         job.lastAttemptNumber,
     )
 
--- a/src/main/kotlin/cleathitch/scheduler/log/DecisionLog.kt
+++ b/src/main/kotlin/cleathitch/scheduler/log/DecisionLog.kt
@@ -1,6 +1,6 @@
 package cleathitch.scheduler.log
 
-import cleathitch.scheduler.model.Deployment
+import cleathitch.scheduler.model.StoreLimits
 import cleathitch.scheduler.model.Term
 import java.util.TreeMap
 
@@ -11,21 +11,27 @@
  * Owned by the scheduler and confined to the leader's event loop. It does no I/O: [nextCommit] returns the commit to write, and
  * [recordCommitted] confirms that the key-value store has applied it. Compaction changes the state in memory only after that confirmation.
  */
-class DecisionLog(private val deployment: Deployment, private val sizes: SizeEstimator) {
-    private class PendingRecord(val index: LogIndex) {
+class DecisionLog(limits: StoreLimits, private val sizes: StoredSizes) {
+    private inner class PendingRecord(val index: LogIndex) {
         val events = ArrayList<Event>()
-        var bytes = 0
-            private set
+        private var encodedBytes = emptyRecordBytes
+
+        /** What writing the record adds to a transaction. */
+        val size get() = sizes.putSize(LogKeys.record(index), encodedBytes)
 
-        fun add(event: Event, size: Int) {
+        fun hasRoomFor(eventBytes: Int) = sizes.valueBytes(encodedBytes + eventBytes) <= maxRecordBytes()
+
+        fun add(event: Event, eventBytes: Int) {
             events += event
-            bytes += size
+            encodedBytes += eventBytes
         }
     }
 
-    private class InFlightCommit(val index: LogIndex, val records: Map<LogIndex, RetainedRecord>, val compaction: CompactionPlan?)
+    private class InFlightCommit(val index: LogIndex, val records: List<PendingRecord>, val compaction: CompactionPlan?)
 
-    private val recordBytes = deployment.maxStoredValueBytes * RECORD_FILL
+    /** The limits within which commits are planned; records that are already pending may be larger than reduced limits permit. */
+    var limits = limits
+    private val emptyRecordBytes = sizes.encodedBytes(StoredValue.Record(LogRecord(emptyList())))
     private val pendingRecords = ArrayDeque<PendingRecord>()
     private var inFlight: InFlightCommit? = null
     private var lastIndex = LogIndex.NONE
@@ -51,6 +57,10 @@
     var isCompactionIncomplete = false
         private set
 
+    /** The values that the last compaction left out because they are too large for any transaction. */
+    var oversizedValues: List<OversizedValue> = emptyList()
+        private set
+
     /** Restores the log's state from what a new leader read from the key-value store. */
     fun restore(recovered: RecoveredState) {
         lastIndex = recovered.head
@@ -64,20 +74,26 @@
 
     /** Appends [event] to a pending record and returns the index of that record. */
     fun append(event: Event): LogIndex {
-        val size = sizes.sizeOf(event)
-        val record = pendingRecords.lastOrNull()?.takeIf { it.bytes + size <= recordBytes } ?: beginRecord()
-        record.add(event, size)
+        val eventBytes = sizes.encodedBytes(event)
+        val record = pendingRecords.lastOrNull()?.takeIf { it.hasRoomFor(eventBytes) } ?: beginRecord()
+        record.add(event, eventBytes)
         return record.index
     }
 
+    /** The bytes by which a record that contains only [event] exceeds what can be stored; 0 if the event can be stored. */
+    fun excessBytes(event: Event): Int = maxOf(0, sizes.valueBytes(emptyRecordBytes + sizes.encodedBytes(event)) - maxRecordBytes())
+
+    /** A record has to fit into a value, and beside the head into a commit of its own. */
+    private fun maxRecordBytes() = minOf(limits.valueBytes, (limits.transactionBytes * RECORDS_SHARE).toInt())
+
     /**
      * Begins a new record if [starts] don't fit into the current record but fit into an empty one, so that the starts of a gang are
      * stored in the same record.
      */
     fun reserveSpaceFor(starts: List<Event.AttemptStarted>) {
-        val size = starts.sumOf(sizes::sizeOf)
+        val bytes = starts.sumOf(sizes::encodedBytes)
         val current = pendingRecords.lastOrNull() ?: return
-        if (size <= recordBytes && current.bytes + size > recordBytes) beginRecord()
+        if (!current.hasRoomFor(bytes) && sizes.valueBytes(emptyRecordBytes + bytes) <= maxRecordBytes()) beginRecord()
     }
 
     private fun beginRecord(): PendingRecord {
@@ -102,24 +118,48 @@
             isCompactionIncomplete = false
             return null
         }
-        val records = takePendingRecords()
-        val index = records.lastOrNull()?.index ?: nextIndex()
+        val space = TransactionSpace(sizes, limits)
+        val records = takePendingRecords(space)
+        val index = records.lastOrNull()?.index ?: lastIndex.next()
         // Snapshots capture the state in memory, which includes the events of pending records. If records remain pending, a
         // snapshot would be newer than this commit, so nothing is compacted.
         val canCompact = isCompactionRequested && pendingRecords.isEmpty()
-        val compaction = if (canCompact) planCompaction(index, jobs, inventorySnapshot, maxCompactionChanges) else null
+        val compaction = if (canCompact) planCompaction(index, space, jobs, inventorySnapshot, maxCompactionChanges) else null
+        oversizedValues = compaction?.oversized.orEmpty()
+        if (records.isEmpty() && compaction?.isEmpty != false) {
+            // Nothing can be compacted, and another attempt wouldn't find more space.
+            isCompactionIncomplete = false
+            return null
+        }
         isCompactionIncomplete = compaction?.isIncomplete ?: isCompactionRequested
-        inFlight = InFlightCommit(index, records.associate { it.index to RetainedRecord(it.events) }, compaction)
-        return Commit(index, changesOf(index, term, records, compaction))
+        return begin(term, index, records, compaction)
+    }
+
+    private fun begin(term: Term, index: LogIndex, records: List<PendingRecord>, compaction: CompactionPlan?): Commit {
+        val relocated = compaction?.relocatedStarts.orEmpty()
+        val commitIndex = if (relocated.isEmpty()) index else index.next()
+        lastIndex = maxOf(lastIndex, commitIndex)
+        inFlight = InFlightCommit(commitIndex, records, compaction)
+        val changes = ArrayList<Mutation>()
+        changes += Mutation.Put(LogKeys.HEAD, StoredValue.Head(commitIndex, term))
+        records.mapTo(changes) { putRecord(it.index, it.events.toList()) }
+        if (relocated.isNotEmpty()) changes += putRecord(commitIndex, relocated.toList())
+        if (compaction != null) changes += compaction.changes()
+        return Commit(commitIndex, changes)
     }
 
-    /** Removes and returns as many pending records as fit into one transaction, at least one if there are any. */
-    private fun takePendingRecords(): List<PendingRecord> {
+    private fun putRecord(index: LogIndex, events: List<Event>) = Mutation.Put(LogKeys.record(index), StoredValue.Record(LogRecord(events)))
+
+    /** Removes and returns as many pending records as fit into their share of a transaction, at least one if there are any. */
+    private fun takePendingRecords(space: TransactionSpace): List<PendingRecord> {
         val records = ArrayList<PendingRecord>()
+        val maxBytes = limits.transactionBytes * RECORDS_SHARE
         var bytes = 0
-        while (pendingRecords.isNotEmpty() && records.size < deployment.maxTransactionOps / RECORD_OPS_DIVISOR) {
-            bytes += pendingRecords.first().bytes
-            if (records.isNotEmpty() && bytes > MAX_COMMIT_BYTES) break
+        while (pendingRecords.isNotEmpty() && records.size < maxOf(1, limits.operations / RECORD_OPS_DIVISOR)) {
+            val size = pendingRecords.first().size
+            bytes += size.bytes
+            if (records.isNotEmpty() && bytes > maxBytes) break
+            space.add(size)
             records += pendingRecords.removeFirst()
         }
         return records
@@ -127,67 +167,49 @@
 
     private fun planCompaction(
         index: LogIndex,
+        space: TransactionSpace,
         jobs: LoggedJobs,
         inventorySnapshot: (LogIndex) -> InventorySnapshot,
         maxChanges: Int,
     ): CompactionPlan {
-        val limits = CompactionPlan.Limits(
-            changes = maxChanges,
-            totalBytes = MAX_COMMIT_BYTES,
-            valueBytes = recordBytes,
-            chunkBytes = deployment.maxStoredValueBytes * CHUNK_FILL,
-        )
-        val plan = CompactionPlan(index, limits, jobs, sizes, inventorySnapshot, storedSnapshots)
         // Only records of earlier commits are compacted, not those that this commit writes.
-        for ((recordIndex, record) in retainedRecords.headMap(index)) {
-            if (plan.isIncomplete) break
-            plan.addRecord(recordIndex, record)
-        }
+        val earlierRecords = retainedRecords.headMap(index, false)
+        val planLimits = CompactionPlan.Limits(maxChanges, limits)
+        val plan = CompactionPlan(index, planLimits, space, earlierRecords, jobs, sizes, inventorySnapshot, storedSnapshots)
+        plan.addRecords()
         return plan
     }
 
-    private fun changesOf(index: LogIndex, term: Term, records: List<PendingRecord>, compaction: CompactionPlan?): List<Mutation> {
-        val changes = ArrayList<Mutation>()
-        changes += Mutation.Put(LogKeys.HEAD, StoredValue.Head(index, term))
-        records.mapTo(changes) { Mutation.Put(LogKeys.record(it.index), StoredValue.Record(LogRecord(it.events.toList()))) }
-        if (compaction != null) changes += compaction.changes()
-        return changes
-    }
-
     /**
      * Called when the key-value store has applied the commit in flight, whose index is [index]: marks its records as committed and
      * completes its compaction in memory.
      */
     fun recordCommitted(index: LogIndex, jobs: LoggedJobs) {
+        val commit = endCommit(index)
+        committedIndex = index
+        commit.records.forEach { retainedRecords[it.index] = RetainedRecord(it.events) }
+        commit.compaction?.let { applyCompaction(it, index, jobs) }
+    }
+
+    private fun endCommit(index: LogIndex): InFlightCommit {
         val commit = inFlight
-        check(commit?.index == index) { "commit $index was confirmed, but the commit in flight is ${commit?.index}" }
+        check(commit != null && commit.index == index) { "commit $index has ended, but the commit in flight is ${commit?.index}" }
         inFlight = null
-        committedIndex = index
-        retainedRecords += commit.records
-        commit.compaction?.let { applyCompaction(it, jobs) }
+        return commit
     }
 
-    private fun applyCompaction(plan: CompactionPlan, jobs: LoggedJobs) {
+    private fun applyCompaction(plan: CompactionPlan, index: LogIndex, jobs: LoggedJobs) {
         plan.deletedRecords.forEach(retainedRecords::remove)
         storedSnapshots.recordCompaction(plan)
         plan.archivedJobs.forEach { jobs.archive(it.id) }
+        if (plan.relocatedStarts.isEmpty()) return
+        retainedRecords[index] = RetainedRecord(plan.relocatedStarts)
+        plan.relocatedStarts.forEach { jobs.relocateStart(it, index) }
     }
 
     private companion object {
-        /**
-         * The fraction of the value size limit that the estimated size of a record or of a part of a snapshot may reach. The limit itself
-         * applies to the JSON form, which is larger.
-         */
-        const val RECORD_FILL = 0.8
-
-        /** The fraction of the value size limit beyond which a chunk of final states isn't extended any more. */
-        const val CHUNK_FILL = 0.5
-
-        /** The key-value store's size limit for a transaction. */
-        const val MAX_TRANSACTION_BYTES = 65_536
-
-        /** The size limit for the records of a commit, and separately for its compaction. */
-        const val MAX_COMMIT_BYTES = MAX_TRANSACTION_BYTES * 0.4
+        /** The fraction of a transaction that its records may take; the rest is left for compaction. */
+        const val RECORDS_SHARE = 0.4
 
         /** The maximum number of operations in a transaction is divided by this to obtain the maximum number of records in a commit. */
         const val RECORD_OPS_DIVISOR = 4
--- a/src/main/kotlin/cleathitch/scheduler/log/LogKeys.kt
+++ b/src/main/kotlin/cleathitch/scheduler/log/LogKeys.kt
@@ -25,6 +25,9 @@
     /** The key of a job's snapshot; its parts are stored under this key followed by `/0`, `/1` and so on. */
     fun job(id: JobId) = JOB_PREFIX + id.text
 
+    /** The keys of the first [count] parts of a job's snapshot. */
+    fun jobParts(id: JobId, count: Int) = List(count) { part -> "${job(id)}/$part" }
+
     /** The key of a chunk of final states. */
     fun finishedJobs(chunkNumber: Long) = FINISHED_JOBS_PREFIX + padded(chunkNumber)
 
--- a/src/main/kotlin/cleathitch/scheduler/log/LoggedJobs.kt
+++ b/src/main/kotlin/cleathitch/scheduler/log/LoggedJobs.kt
@@ -14,6 +14,9 @@
     /** The form in which compaction stores job [id] as of record [lastIncludedIndex]. */
     fun compact(id: JobId, lastIncludedIndex: LogIndex): CompactedJob
 
+    /** Records that the start of a live attempt is now contained in record [index]. Called once that record is durable. */
+    fun relocateStart(start: Event.AttemptStarted, index: LogIndex)
+
     /** Drops everything about the finished job [id] except its final state. Called once the final state is durable. */
     fun archive(id: JobId)
 }
--- a/src/main/kotlin/cleathitch/scheduler/log/RetainedRecord.kt
+++ b/src/main/kotlin/cleathitch/scheduler/log/RetainedRecord.kt
@@ -8,6 +8,8 @@
     /** The keys of the snapshots that together replace the record, in the order of its events. */
     val snapshotKeys: Set<String> = events.mapTo(LinkedHashSet(), LogKeys::snapshotOf)
 
+    val eventCount = events.size
+
     /** The attempts started in the record that were still unobserved at the last check. */
     private val unobservedStarts = events.filterIsInstance<Event.AttemptStarted>()
         .mapTo(ArrayList()) { AttemptId(TaskId(it.job, it.taskIndex), it.number) }
--- a/src/main/kotlin/cleathitch/scheduler/requests/JobRequests.kt
+++ b/src/main/kotlin/cleathitch/scheduler/requests/JobRequests.kt
@@ -69,14 +69,33 @@
         }
     }
 
-    private fun accept(request: RequestId, spec: JobSpec) {
-        val record = context.append(Event.JobAccepted(spec, context.now.wallMs))
+    private fun accept(request: RequestId, submitted: JobSpec) {
+        val spec = storableSpec(submitted)
+        val accepted = Event.JobAccepted(spec, context.now.wallMs)
+        val excessBytes = decisionLog.excessBytes(accepted)
+        if (excessBytes > 0) return refuseOversized(request, spec.id, excessBytes)
+        val record = context.append(accepted)
         context.logEvent(LogLevel.DEBUG) {
             "event=job_accepted job=${spec.id} class=${spec.className} team=${spec.team} tasks=${spec.tasks}"
         }
         answerAfter(record, request, UserReply.Accepted(spec.id, JobState.QUEUED, known = false))
     }
 
+    /**
+     * The spec to store. A list of allowed machine types may be longer than a record; what the cloud provider doesn't offer is then
+     * left out, because it can't be rented anyway.
+     */
+    private fun storableSpec(spec: JobSpec): JobSpec {
+        val allowedTypes = spec.allowedTypes ?: return spec
+        if (decisionLog.excessBytes(Event.JobAccepted(spec, context.now.wallMs)) == 0) return spec
+        return spec.copy(allowedTypes = allowedTypes intersect inventory.types.keys)
+    }
+
+    private fun refuseOversized(request: RequestId, id: JobId, excessBytes: Int) {
+        context.logEvent(LogLevel.ERROR) { "event=submission_too_large job=$id excess_bytes=$excessBytes" }
+        answer(request, UserReply.Unsatisfiable("the names in the submission are $excessBytes bytes too long to be stored"))
+    }
+
     /** The reason why the job can never be scheduled, as shown to the user; null if there is none. */
     private fun unsatisfiableReason(spec: JobSpec): String? = when {
         spec.team !in teams -> "unknown team ${spec.team}"
--- a/src/main/kotlin/cleathitch/storage/LogCodec.kt
+++ b/src/main/kotlin/cleathitch/storage/LogCodec.kt
@@ -5,9 +5,11 @@
 import cleathitch.protocol.MessageCodec
 import cleathitch.protocol.requiredLong
 import cleathitch.protocol.requiredText
+import cleathitch.scheduler.log.Event
 import cleathitch.scheduler.log.FinishedJobsSnapshot
 import cleathitch.scheduler.log.InventorySnapshot
 import cleathitch.scheduler.log.JobSnapshot
+import cleathitch.scheduler.log.LiveAttempt
 import cleathitch.scheduler.log.LogIndex
 import cleathitch.scheduler.log.LogRecord
 import cleathitch.scheduler.log.RecoveredState
@@ -44,6 +46,27 @@
         is StoredValue.FinishedJobs -> encode(FinishedJobsSnapshot.serializer(), value.snapshot, parts)
     }
 
+    /** The number of bytes of [value] before it is encoded as text; the head has no such form. */
+    internal fun encodedBytes(value: StoredValue): Int = when (value) {
+        is StoredValue.Head -> throw IllegalArgumentException("the head isn't stored as CBOR")
+        is StoredValue.Record -> cbor.encodeToByteArray(LogRecord.serializer(), value.record).size
+        is StoredValue.Job -> cbor.encodeToByteArray(JobSnapshot.serializer(), value.snapshot).size
+        is StoredValue.Inventory -> cbor.encodeToByteArray(InventorySnapshot.serializer(), value.snapshot).size
+        is StoredValue.FinishedJobs -> cbor.encodeToByteArray(FinishedJobsSnapshot.serializer(), value.snapshot).size
+    }
+
+    /** The number of bytes that [event] adds to a record before it is encoded as text. */
+    internal fun encodedBytes(event: Event): Int = cbor.encodeToByteArray(Event.serializer(), event).size
+
+    /** The number of bytes that [attempt] adds to a job's snapshot before it is encoded as text. */
+    internal fun encodedBytes(attempt: LiveAttempt): Int = cbor.encodeToByteArray(LiveAttempt.serializer(), attempt).size
+
+    /** The stored form of [text], which is one part of a Base64-encoded value. */
+    internal fun value(text: String): ObjectNode = MessageCodec.newMap().put(CBOR_FIELD, text)
+
+    /** The number of bytes of [value] of a text of [textLength] characters. */
+    internal fun valueBytes(textLength: Int): Int = MessageCodec.jsonBytes(value("")) + textLength
+
     private fun encodeHead(head: StoredValue.Head): ObjectNode =
         MessageCodec.newMap().put(HEAD_INDEX_FIELD, head.index.number).put(HEAD_TERM_FIELD, head.term.revision)
 
@@ -52,7 +75,7 @@
         return (0 until parts).map { part ->
             val start = text.length * part / parts
             val end = text.length * (part + 1) / parts
-            MessageCodec.newMap().put(CBOR_FIELD, text.substring(start, end))
+            value(text.substring(start, end))
         }
     }
 
--- a/src/main/kotlin/cleathitch/storage/LogStorage.kt
+++ b/src/main/kotlin/cleathitch/storage/LogStorage.kt
@@ -37,6 +37,8 @@
 ) {
     private class LogContents(val entries: List<KeyValueStoreProtocol.Entry>, val pages: Int)
 
+    /** The sizes of the commits that this storage writes. */
+    val sizes = LogSizes(keyPrefix, leaderKey)
     private val headKey = keyPrefix + LogKeys.HEAD
     private var headRevision = KEY_ABSENT
 
--- a/src/test/kotlin/cleathitch/scheduler/SchedulerHarness.kt
+++ b/src/test/kotlin/cleathitch/scheduler/SchedulerHarness.kt
@@ -19,7 +19,9 @@
 import cleathitch.scheduler.simulation.SimulatedCluster
 import cleathitch.scheduler.simulation.StoredEntries
 import cleathitch.storage.LogCodec
-import cleathitch.storage.StoredSizeEstimator
+import cleathitch.storage.LogSizes
+import cleathitch.storage.TransactionLimits
+import org.junit.jupiter.api.Assertions.assertNull
 
 /**
  * Runs a leader's scheduler under a manual clock with a key-value store that applies commits at once, unless
@@ -33,7 +35,8 @@
     protected val workerLeaseMs = (deployment.workerLeaseS * 1000).toLong()
     protected val roundsPerHeartbeat = (deployment.heartbeatPeriodS * 1000 / timings.roundPeriodMs).toInt()
 
-    protected var scheduler = Scheduler(deployment, timings, Term(term), recovered, ClockReading(0, 0), StoredSizeEstimator)
+    protected var scheduler =
+        Scheduler(deployment, timings, Term(term), recovered, ClockReading(0, 0), LogSizes("cleathitch/", "leader/cleathitch"))
         private set
     protected var nowMs = 0L
         private set
@@ -64,6 +67,7 @@
     }
 
     private fun applyCommit(commit: Commit): List<Effect> {
+        assertNull(TransactionLimits.violation(commit, deployment.storeLimits))
         commits += commit
         store.apply(commit.changes)
         return step(Input.CommitSucceeded(commit.index, ++revision))
@@ -87,7 +91,7 @@
                 Term(term),
                 LogCodec.decodeRecoveredState(storedEntries()),
                 ClockReading(nowMs, nowMs),
-                StoredSizeEstimator,
+                LogSizes("cleathitch/", "leader/cleathitch"),
             )
         return becomeLeader()
     }
--- a/src/test/kotlin/cleathitch/scheduler/SchedulerTest.kt
+++ b/src/test/kotlin/cleathitch/scheduler/SchedulerTest.kt
@@ -16,7 +16,7 @@
 import cleathitch.scheduler.model.Term
 import cleathitch.scheduler.model.WorkerCommand
 import cleathitch.scheduler.simulation.SimulatedCluster
-import cleathitch.storage.StoredSizeEstimator
+import cleathitch.storage.LogSizes
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -29,7 +29,7 @@
         Term(7),
         RecoveredState.EMPTY,
         ClockReading(0, 0),
-        StoredSizeEstimator,
+        LogSizes("cleathitch/", "leader/cleathitch"),
     )
     private var nowMs = 0L
     private var revision = 7L
--- a/src/test/kotlin/cleathitch/scheduler/log/DecisionLogTest.kt
+++ b/src/test/kotlin/cleathitch/scheduler/log/DecisionLogTest.kt
@@ -17,14 +17,28 @@
 class DecisionLogTest {
     private val deployment = SimulatedCluster.defaultDeployment
     private val jobs = FakeJobs()
-    private val decisionLog = DecisionLog(deployment, FixedSizes)
+    private val decisionLog = DecisionLog(deployment.storeLimits, FixedSizes)
     private val spec = SimulatedCluster.jobSpec(1)
     private val otherSpec = SimulatedCluster.jobSpec(2)
     private val start = Event.AttemptStarted(spec.id, 0, 1, MachineId("vm-000001"))
 
-    private object FixedSizes : SizeEstimator {
-        override fun sizeOf(event: Event) = EVENT_BYTES
-        override fun sizeOf(snapshot: JobSnapshot) = SNAPSHOT_BYTES
+    /** Events and snapshots have a fixed size, and the encoding adds nothing. */
+    private object FixedSizes : StoredSizes {
+        override val headTransactionBytes = 0
+
+        override fun encodedBytes(value: StoredValue) = when (value) {
+            is StoredValue.Record -> value.record.events.size * EVENT_BYTES
+            is StoredValue.Job -> SNAPSHOT_BYTES + value.snapshot.liveAttempts.size * ATTEMPT_BYTES
+            is StoredValue.Head, is StoredValue.Inventory, is StoredValue.FinishedJobs -> 0
+        }
+
+        override fun encodedBytes(event: Event) = EVENT_BYTES
+        override fun encodedBytes(attempt: LiveAttempt) = ATTEMPT_BYTES
+        override fun encodedBytes(id: JobId) = 0
+        override fun valueBytes(encodedBytes: Int) = encodedBytes
+        override fun partsFor(encodedBytes: Int, maxValueBytes: Int) = (encodedBytes + maxValueBytes - 1) / maxValueBytes
+        override fun putBytes(keys: List<String>, encodedBytes: Int) = encodedBytes
+        override fun deleteBytes(key: String) = 0
     }
 
     private class FakeJobs : LoggedJobs {
@@ -32,12 +46,22 @@
         val finished = HashSet<JobId>()
         val archived = ArrayList<JobId>()
 
+        /** The live attempts of every open job, in the order of their starts. */
+        var live = emptyList<LoggedAttempt>()
+
         override fun isStartUnobserved(attempt: AttemptId) = attempt in unobservedStarts
 
         override fun compact(id: JobId, lastIncludedIndex: LogIndex): CompactedJob = when (id) {
             in archived -> CompactedJob.Archived
             in finished -> CompactedJob.Finished(id, FinalState.DONE)
-            else -> CompactedJob.Open(snapshot(id, lastIncludedIndex))
+            else -> CompactedJob.Open(snapshot(id, lastIncludedIndex), live.size, live.asSequence())
+        }
+
+        override fun relocateStart(start: Event.AttemptStarted, index: LogIndex) {
+            live = (
+                live.filter { it.attempt.taskIndex != start.taskIndex } + live.filter { it.attempt.taskIndex == start.taskIndex }
+                    .map { it.copy(startIndex = index) }
+                )
         }
 
         override fun archive(id: JobId) {
@@ -94,7 +118,7 @@
 
     @Test
     fun `the starts of a gang are stored in one record`() {
-        val eventsPerRecord = (deployment.maxStoredValueBytes * 0.8 / EVENT_BYTES).toInt()
+        val eventsPerRecord = deployment.maxStoredValueBytes / EVENT_BYTES
         repeat(eventsPerRecord - 1) { decisionLog.append(Event.JobCancelled(spec.id)) }
         val starts = List(2) { start.copy(taskIndex = it) }
         decisionLog.reserveSpaceFor(starts)
@@ -154,7 +178,7 @@
     fun `nothing is compacted while a later record is pending`() {
         appendAndCommit(Event.JobAccepted(spec, 0))
         val recordsPerCommit = deployment.maxTransactionOps / 4
-        val eventsPerRecord = (deployment.maxStoredValueBytes * 0.8 / EVENT_BYTES).toInt()
+        val eventsPerRecord = deployment.maxStoredValueBytes / EVENT_BYTES
         repeat(recordsPerCommit * eventsPerRecord + 1) { decisionLog.append(Event.JobCancelled(spec.id)) }
         val commit = commit(maxCompactionChanges = 10)
         assertTrue(decisionLog.hasPendingRecords)
@@ -175,6 +199,7 @@
     private companion object {
         const val EVENT_BYTES = 100
         const val SNAPSHOT_BYTES = 500
+        const val ATTEMPT_BYTES = 50
         val NO_COMPLETED_TASKS = byteArrayOf()
     }
 }
--- a/src/test/kotlin/cleathitch/scheduler/simulation/SimulatedCluster.kt
+++ b/src/test/kotlin/cleathitch/scheduler/simulation/SimulatedCluster.kt
@@ -41,7 +41,7 @@
     val timings = SchedulerTimings.of(deployment, faults.compactionEveryS)
     val machineType = machineType(deployment.zones)
     val network = SimulatedNetwork(events, random, faults) { faultsEnded }
-    val store = SimulatedKeyValueStore<SimulatedController>(LEASE_TTL_MS) { events.nowMs }
+    val store = SimulatedKeyValueStore<SimulatedController>(LEASE_TTL_MS, deployment.storeLimits) { events.nowMs }
     val pendingRequests = PendingRequests()
 
     /** Delayed heartbeats that the next leader receives as soon as it leads. */
--- a/src/test/kotlin/cleathitch/scheduler/simulation/SimulatedController.kt
+++ b/src/test/kotlin/cleathitch/scheduler/simulation/SimulatedController.kt
@@ -11,7 +11,7 @@
 import cleathitch.scheduler.model.MachineId
 import cleathitch.scheduler.model.Term
 import cleathitch.scheduler.model.WorkerCommand
-import cleathitch.storage.StoredSizeEstimator
+import cleathitch.storage.LogSizes
 import cleathitch.workers.HeartbeatQueue
 
 /**
@@ -128,7 +128,15 @@
         logStorage.startTerm(store.headRevision)
         lastRenewalMs = events.nowMs
         val leaseEndMs = monotonicMs() + USABLE_LEASE_MS
-        scheduler = Scheduler(cluster.deployment, cluster.timings, Term(term), store.snapshot(), clockReading(), StoredSizeEstimator)
+        scheduler =
+            Scheduler(
+                cluster.deployment,
+                cluster.timings,
+                Term(term),
+                store.snapshot(),
+                clockReading(),
+                LogSizes("cleathitch/", "leader/cleathitch"),
+            )
         cluster.log("$name leads in term $term")
         handle(Input.LeaseRenewed(leaseEndMs))
         handle(Input.MachineTypesListed(listOf(cluster.machineType)))
--- a/src/test/kotlin/cleathitch/scheduler/simulation/SimulatedKeyValueStore.kt
+++ b/src/test/kotlin/cleathitch/scheduler/simulation/SimulatedKeyValueStore.kt
@@ -3,11 +3,16 @@
 import cleathitch.scheduler.log.Commit
 import cleathitch.scheduler.log.RecoveredState
 import cleathitch.scheduler.log.StoredValue
+import cleathitch.scheduler.model.StoreLimits
 import cleathitch.scheduler.model.Term
 import cleathitch.storage.LogCodec
+import cleathitch.storage.TransactionLimits
 
-/** The key-value store in virtual time: the leader's key with its lease, the revision of the log's head, and the stored entries. */
-class SimulatedKeyValueStore<N : Any>(private val leaseTtlMs: Long, private val nowMs: () -> Long) {
+/**
+ * The key-value store in virtual time: the leader's key with its lease, the revision of the log's head, and the stored entries. A
+ * commit that exceeds a limit fails the test.
+ */
+class SimulatedKeyValueStore<N : Any>(private val leaseTtlMs: Long, private val limits: StoreLimits, private val nowMs: () -> Long) {
     private val stored = StoredEntries()
     private var revision = 0L
     private var leaderTerm: Long? = null
@@ -65,6 +70,7 @@
      * the commit was applied, also if an earlier duplicate of this request applied it, or null if the commit is refused.
      */
     fun compareAndSwap(term: Long, head: Long, commit: Commit): Long? {
+        TransactionLimits.violation(commit, limits)?.let { throw AssertionError("commit ${commit.index}: $it") }
         expireLease()
         if (leaderTerm == term && headRevision == head) {
             revision++
