Don't repeat a commit that the key-value store rejects for its content

Callers saw: users got 503 and no task was started for as long as the leader lived, since it repeated a commit that the store answered with 400 ten times a second, and its lease was renewed meanwhile.

Cause: LogStorage.commit treated a definite refusal like an unknown fate. Only the latter has to be repeated unchanged.

Change: a commit whose every attempt was surely refused ends as Rejected. If the commit can't be made smaller, the term ends and another controller leads. A rejection after an attempt of unknown fate is Undecided unless the head shows that the commit was applied: that attempt may still arrive, so nothing is planned in its place, and the term ends; its transaction expects the old leader's key.

--- a/src/main/kotlin/cleathitch/controller/Controller.kt
+++ b/src/main/kotlin/cleathitch/controller/Controller.kt
@@ -10,6 +10,7 @@
 import cleathitch.peers.PeerClient
 import cleathitch.peers.WorkerCommandDelivery
 import cleathitch.scheduler.api.Effect
+import cleathitch.scheduler.log.StoreHealth
 import cleathitch.scheduler.model.Term
 import cleathitch.storage.KeyValueStoreClient
 import cleathitch.storage.LogStorage
@@ -40,6 +41,7 @@
     private val leaderLeaseMs = dependencies.timings.leaderLeaseMs
     private val peerAddresses = settings.peers.associate { it.member to it.address }
 
+    private val storeHealth = StoreHealth(settings.deployment.storeLimits)
     private val machineTypes = MachineTypeDiscovery(dependencies.cloud, retryMs = heartbeatPeriodMs / 3)
     private val imageCacheHints = ImageCacheHintSharing(settings.peers, peers, processingTimes, timeoutMs = heartbeatPeriodMs / 3, scope)
     private val contacts = FollowerContacts(monotonicMs, reachableMs = leaderLeaseMs)
@@ -108,7 +110,7 @@
         LOG_KEY_PREFIX,
         LEADER_KEY,
         term,
-        settings.deployment.storeLimits,
+        storeHealth,
         processingTimes,
         dependencies.meterRegistry,
         monotonicMs,
--- a/src/main/kotlin/cleathitch/leader/EffectExecutor.kt
+++ b/src/main/kotlin/cleathitch/leader/EffectExecutor.kt
@@ -68,6 +68,8 @@
     private fun commit(effect: Effect.Write) = scope.launch {
         when (val result = storage.commit(effect.commit)) {
             is CommitResult.Committed -> enqueue(Input.CommitSucceeded(effect.commit.index, result.revision))
+            is CommitResult.Rejected -> enqueue(Input.CommitRejected(effect.commit.index, result.size))
+            is CommitResult.Undecided -> stepDown(Effect.StepDown("commit_undecided: rejected with ${result.size}, but may be applied"))
             is CommitResult.Refused -> stepDown(Effect.StepDown("compare_and_swap_refused: ${result.failedKeys} changed"))
         }
     }
--- a/src/main/kotlin/cleathitch/leader/InputQueue.kt
+++ b/src/main/kotlin/cleathitch/leader/InputQueue.kt
@@ -69,7 +69,9 @@
     }
 
     private fun priorityOf(input: Input): PriorityClass = when (input) {
-        is Input.LeaseRenewed, is Input.CommitSucceeded, is Input.MachineTypesListed, is Input.ImageCacheHintsReceived ->
+        is Input.LeaseRenewed, is Input.CommitSucceeded, is Input.CommitRejected, is Input.MachineTypesListed,
+        is Input.ImageCacheHintsReceived,
+        ->
             PriorityClass.UNBOUNDED
         is Input.HeartbeatReceived, is Input.FollowerBatchReceived, is Input.ProbeAnswered, is Input.DirectCallUnanswered ->
             PriorityClass.HEARTBEAT_OR_CANCELLATION
--- a/src/main/kotlin/cleathitch/leader/LeaderTerm.kt
+++ b/src/main/kotlin/cleathitch/leader/LeaderTerm.kt
@@ -131,6 +131,7 @@
             log.isInfoEnabled -> LogLevel.INFO
             else -> LogLevel.ERROR
         },
+        storage.storeHealth,
     )
 
     /** The next batch of inputs, which always includes the current expiry time of the lease. */
--- a/src/main/kotlin/cleathitch/protocol/Transaction.kt
+++ b/src/main/kotlin/cleathitch/protocol/Transaction.kt
@@ -1,5 +1,6 @@
 package cleathitch.protocol
 
+import cleathitch.scheduler.model.TransactionSize
 import com.fasterxml.jackson.databind.node.ObjectNode
 
 /**
@@ -13,7 +14,11 @@
     val body: ByteArray by lazy { MessageCodec.encode(message) }
 
     /** The quantities that the store's limits apply to. */
-    val size: TransactionSize by lazy { TransactionSize.of(MessageCodec.jsonBytes(message), writes) }
+    val size: TransactionSize by lazy {
+        val valueBytes = writes.filterIsInstance<KeyValueStoreProtocol.Write.Put>().associate { it.key to MessageCodec.jsonBytes(it.value) }
+        val largest = valueBytes.maxByOrNull { it.value }
+        TransactionSize(MessageCodec.jsonBytes(message), writes.size, largest?.value ?: 0, largest?.key)
+    }
 
     init {
         val conditions = message.putArray("guards")
@@ -32,24 +37,3 @@
         }
     }
 }
-
-/**
- * The size of a transaction in the terms of the store's limits, which count the JSON form of a message.
- *
- * @property bytes the whole transaction
- * @property operations the number of writes and deletions
- * @property largestValueBytes the largest value that the transaction writes
- * @property largestKey the key of that value, null if the transaction writes none
- */
-data class TransactionSize(val bytes: Int, val operations: Int, val largestValueBytes: Int, val largestKey: String?) {
-    internal companion object {
-        fun of(bytes: Int, writes: List<KeyValueStoreProtocol.Write>): TransactionSize {
-            val valueBytes = writes.filterIsInstance<KeyValueStoreProtocol.Write.Put>().associate {
-                it.key to
-                    MessageCodec.jsonBytes(it.value)
-            }
-            val largest = valueBytes.maxByOrNull { it.value }
-            return TransactionSize(bytes, writes.size, largest?.value ?: 0, largest?.key)
-        }
-    }
-}
--- a/src/main/kotlin/cleathitch/scheduler/Scheduler.kt
+++ b/src/main/kotlin/cleathitch/scheduler/Scheduler.kt
@@ -16,6 +16,7 @@
 import cleathitch.scheduler.log.Event
 import cleathitch.scheduler.log.LogIndex
 import cleathitch.scheduler.log.RecoveredState
+import cleathitch.scheduler.log.StoreHealth
 import cleathitch.scheduler.log.StoredSizes
 import cleathitch.scheduler.machines.CommandDispatcher
 import cleathitch.scheduler.machines.DirectReachability
@@ -54,6 +55,8 @@
      * change of every task is costly.
      */
     private val logLevel: LogLevel = LogLevel.DEBUG,
+    /** What this process has learnt about the key-value store in this and earlier terms. */
+    storeHealth: StoreHealth = StoreHealth(deployment.storeLimits),
 ) {
     private val effects = ArrayList<Effect>()
     private var now = start
@@ -65,9 +68,9 @@
     private val inventory = Inventory(deployment)
     private val scaleInCandidates = ScaleInCandidates(deployment, inventory, jobTable)
     private val quota = Quota(deployment.teams, jobTable)
-    private val decisionLog = DecisionLog(deployment.storeLimits, sizes)
+    private val decisionLog = DecisionLog(storeHealth, sizes)
     private val lease = TermLease(context, timings, inventory, start, isFirstTerm = recovered.head == LogIndex.NONE)
-    private val logWriter = LogWriter(context, deployment, timings, term, decisionLog, jobTable, inventory, start)
+    private val logWriter = LogWriter(context, deployment.storeWritesPerS, timings, term, decisionLog, storeHealth, jobTable, inventory)
 
     private val registry = MachineRegistry(context, deployment, timings, inventory, start)
     private val cloudRequests = CloudRequests(
@@ -159,6 +162,7 @@
             is Input.DirectCallUnanswered -> heartbeatHandler.onDirectCallUnanswered(input.machine)
             is Input.LeaseRenewed -> lease.renew(input.untilMs)
             is Input.CommitSucceeded -> commitSucceeded(input)
+            is Input.CommitRejected -> logWriter.recordRejection(input.index, input.size)
             is Input.MachineTypesListed -> cloudInventoryHandler.onMachineTypesListed(input.types)
             is Input.MachinesListed -> cloudInventoryHandler.onMachinesListed(input.machines)
             is Input.RentalCompleted -> cloudRequests.onRentalAnswer(input)
@@ -203,6 +207,7 @@
     private inner class Context : SchedulerContext {
         override val now get() = this@Scheduler.now
         override val answeringSinceMs get() = lease.answeringSinceMs
+        override val leaseRenewedMs get() = lease.renewedMs
         override val hasSteppedDown get() = this@Scheduler.hasSteppedDown
 
         override fun isLeaseHeld() = lease.isHeld()
--- a/src/main/kotlin/cleathitch/scheduler/TermLease.kt
+++ b/src/main/kotlin/cleathitch/scheduler/TermLease.kt
@@ -28,6 +28,10 @@
     var answeringSinceMs = startedMs
         private set
 
+    /** When the key-value store last extended the lease, as far as this leader knows. */
+    var renewedMs = startedMs
+        private set
+
     /** Moves the start of the answering period to the present if heartbeats can't be answered now. Called once per batch of inputs. */
     fun updateAnsweringPeriod() {
         if (!mayAnswerMachines()) answeringSinceMs = context.now.monotonicMs
@@ -35,7 +39,9 @@
 
     /** Called when the key-value store has extended the lease to [untilMs]. */
     fun renew(untilMs: Long) {
-        validUntilMs = maxOf(validUntilMs, untilMs)
+        if (untilMs <= validUntilMs) return
+        validUntilMs = untilMs
+        renewedMs = context.now.monotonicMs
     }
 
     /** Whether the lease is valid. Without it the leader must neither make decisions nor answer users. */
--- a/src/main/kotlin/cleathitch/scheduler/api/Input.kt
+++ b/src/main/kotlin/cleathitch/scheduler/api/Input.kt
@@ -9,6 +9,7 @@
 import cleathitch.scheduler.model.MachineId
 import cleathitch.scheduler.model.MachineType
 import cleathitch.scheduler.model.RequestId
+import cleathitch.scheduler.model.TransactionSize
 
 /** An external event that the scheduler handles. An input with a [RequestId] is answered by a later [Effect]. */
 sealed interface Input {
@@ -43,6 +44,12 @@
     /** The key-value store applied the commit whose last record is [index]; new fencing tokens are derived from its [revision]. */
     data class CommitSucceeded(val index: LogIndex, val revision: Long) : Input
 
+    /**
+     * The key-value store rejected the commit whose last record is [index] for its content, which has [size]. The commit was not applied
+     * and never will be.
+     */
+    data class CommitRejected(val index: LogIndex, val size: TransactionSize) : Input
+
     /** The cloud provider listed its machine types, with their zones and prices. */
     data class MachineTypesListed(val types: List<MachineType>) : Input
 
--- a/src/main/kotlin/cleathitch/scheduler/api/SchedulerContext.kt
+++ b/src/main/kotlin/cleathitch/scheduler/api/SchedulerContext.kt
@@ -12,6 +12,9 @@
     /** The time on the monotonic clock since which heartbeats could be answered without interruption. */
     val answeringSinceMs: Long
 
+    /** The time on the monotonic clock at which the leader's lease was last extended. */
+    val leaseRenewedMs: Long
+
     /** Whether the leader has ended this term, after which no input is handled. */
     val hasSteppedDown: Boolean
 
--- a/src/main/kotlin/cleathitch/scheduler/log/DecisionLog.kt
+++ b/src/main/kotlin/cleathitch/scheduler/log/DecisionLog.kt
@@ -1,6 +1,5 @@
 package cleathitch.scheduler.log
 
-import cleathitch.scheduler.model.StoreLimits
 import cleathitch.scheduler.model.Term
 import java.util.TreeMap
 
@@ -11,14 +10,17 @@
  * Owned by the scheduler and confined to the leader's event loop. It does no I/O: [nextCommit] returns the commit to write, and
  * [recordCommitted] confirms that the key-value store has applied it. Compaction changes the state in memory only after that confirmation.
  */
-class DecisionLog(limits: StoreLimits, private val sizes: StoredSizes) {
-    private inner class PendingRecord(val index: LogIndex) {
+class DecisionLog(private val storeHealth: StoreHealth, private val sizes: StoredSizes) {
+    /** A record that isn't committed yet. No record has an index from [firstFreeIndex] to the one before [index]. */
+    private inner class PendingRecord(val firstFreeIndex: LogIndex, val index: LogIndex) {
         val events = ArrayList<Event>()
         private var encodedBytes = emptyRecordBytes
 
         /** What writing the record adds to a transaction. */
         val size get() = sizes.putSize(LogKeys.record(index), encodedBytes)
 
+        val exceedsLimits get() = sizes.valueBytes(encodedBytes) > maxRecordBytes()
+
         fun hasRoomFor(eventBytes: Int) = sizes.valueBytes(encodedBytes + eventBytes) <= maxRecordBytes()
 
         fun add(event: Event, eventBytes: Int) {
@@ -30,7 +32,7 @@
     private class InFlightCommit(val index: LogIndex, val records: List<PendingRecord>, val compaction: CompactionPlan?)
 
     /** The limits within which commits are planned; records that are already pending may be larger than reduced limits permit. */
-    var limits = limits
+    private val limits get() = storeHealth.limits
     private val emptyRecordBytes = sizes.encodedBytes(StoredValue.Record(LogRecord(emptyList())))
     private val pendingRecords = ArrayDeque<PendingRecord>()
     private var inFlight: InFlightCommit? = null
@@ -97,16 +99,13 @@
     }
 
     private fun beginRecord(): PendingRecord {
-        val record = PendingRecord(nextIndex())
+        val firstFreeIndex = lastIndex.next()
+        lastIndex = if (storeHealth.isReduced) LogIndex(lastIndex.number + INDEXES_PER_SPLIT_RECORD) else firstFreeIndex
+        val record = PendingRecord(firstFreeIndex, lastIndex)
         pendingRecords.addLast(record)
         return record
     }
 
-    private fun nextIndex(): LogIndex {
-        lastIndex = lastIndex.next()
-        return lastIndex
-    }
-
     /**
      * Returns the next commit, which is then in flight; null if another commit is in flight or there is nothing to write. The commit
      * includes up to [maxCompactionChanges] changes for compaction; 0 disables compaction.
@@ -123,7 +122,7 @@
         val index = records.lastOrNull()?.index ?: lastIndex.next()
         // Snapshots capture the state in memory, which includes the events of pending records. If records remain pending, a
         // snapshot would be newer than this commit, so nothing is compacted.
-        val canCompact = isCompactionRequested && pendingRecords.isEmpty()
+        val canCompact = isCompactionRequested && pendingRecords.isEmpty() && records.none { it.exceedsLimits }
         val compaction = if (canCompact) planCompaction(index, space, jobs, inventorySnapshot, maxCompactionChanges) else null
         oversizedValues = compaction?.oversized.orEmpty()
         if (records.isEmpty() && compaction?.isEmpty != false) {
@@ -191,6 +190,54 @@
         commit.compaction?.let { applyCompaction(it, index, jobs) }
     }
 
+    /**
+     * Called when the key-value store has rejected the commit in flight, whose index is [index], so that it will never be applied: its
+     * records are pending again, and those that exceed the limits are split. Returns whether the next commit is smaller.
+     *
+     * A record is split into records with lower indexes, which were left free for that. So its events stay in order, and whoever
+     * waits for the record still waits for all of them.
+     */
+    fun recordRejected(index: LogIndex): Boolean {
+        val commit = endCommit(index)
+        val wasShared = commit.records.size > 1 || commit.compaction?.isEmpty == false
+        val pending = commit.records + pendingRecords
+        pendingRecords.clear()
+        val isFirstSplit = commit.records.firstOrNull()?.let { split(it).size > 1 } == true
+        pending.flatMapTo(pendingRecords, ::split)
+        return wasShared || isFirstSplit
+    }
+
+    /** Splits [record] into as many records as its events need under the [limits] and as it has indexes for. */
+    private fun split(record: PendingRecord): List<PendingRecord> {
+        if (!record.exceedsLimits) return listOf(record)
+        val pieces = ArrayList<List<Event>>()
+        var piece = PendingRecord(record.firstFreeIndex, record.index)
+        for (event in record.events) {
+            val eventBytes = sizes.encodedBytes(event)
+            val hasFreeIndex = pieces.size < record.index.number - record.firstFreeIndex.number
+            if (!piece.hasRoomFor(eventBytes) && piece.events.isNotEmpty() && hasFreeIndex) {
+                pieces += piece.events
+                piece = PendingRecord(record.firstFreeIndex, record.index)
+            }
+            piece.add(event, eventBytes)
+        }
+        pieces += piece.events
+        return spread(pieces, record)
+    }
+
+    /** Records with the events of [pieces], at indexes that are spread evenly over those of [record]; the last one keeps its index. */
+    private fun spread(pieces: List<List<Event>>, record: PendingRecord): List<PendingRecord> {
+        val indexes = record.index.number - record.firstFreeIndex.number + 1
+        var nextFree = record.firstFreeIndex
+        return pieces.mapIndexed { position, events ->
+            val index = LogIndex(record.firstFreeIndex.number + indexes * (position + 1) / pieces.size - 1)
+            val piece = PendingRecord(nextFree, index)
+            events.forEach { piece.add(it, sizes.encodedBytes(it)) }
+            nextFree = index.next()
+            piece
+        }
+    }
+
     private fun endCommit(index: LogIndex): InFlightCommit {
         val commit = inFlight
         check(commit != null && commit.index == index) { "commit $index has ended, but the commit in flight is ${commit?.index}" }
@@ -211,6 +258,9 @@
         /** The fraction of a transaction that its records may take; the rest is left for compaction. */
         const val RECORDS_SHARE = 0.4
 
+        /** The indexes that a record gets while the store's limits are reduced, so that it can be split after another rejection. */
+        const val INDEXES_PER_SPLIT_RECORD = 64
+
         /** The maximum number of operations in a transaction is divided by this to obtain the maximum number of records in a commit. */
         const val RECORD_OPS_DIVISOR = 4
     }
--- a/src/main/kotlin/cleathitch/storage/CommitAttempts.kt
+++ b/src/main/kotlin/cleathitch/storage/CommitAttempts.kt
@@ -1,10 +1,10 @@
 package cleathitch.storage
 
 import cleathitch.metrics.logValue
-import cleathitch.protocol.TransactionSize
 import cleathitch.scheduler.log.LogIndex
 import cleathitch.scheduler.model.StoreLimits
 import cleathitch.scheduler.model.Term
+import cleathitch.scheduler.model.TransactionSize
 import io.micrometer.core.instrument.MeterRegistry
 import org.slf4j.LoggerFactory
 
@@ -24,9 +24,14 @@
     private val startedAtMs = monotonicMs()
     private var count = 0
 
+    /** Whether an attempt may have been applied, or may still be: the store didn't say that it wasn't. */
+    var isFateUnknown = false
+        private set
+
     /** Records the [result] of the next attempt. */
     fun record(result: CompareAndSwapResult) {
         count++
+        if (result is CompareAndSwapResult.Unknown) isFateUnknown = true
         meterRegistry.counter("log.commit.attempts", "outcome", outcome(result)).increment()
         when (result) {
             is CompareAndSwapResult.Applied -> logSuccess()
--- a/src/main/kotlin/cleathitch/storage/CommitResult.kt
+++ b/src/main/kotlin/cleathitch/storage/CommitResult.kt
@@ -1,5 +1,7 @@
 package cleathitch.storage
 
+import cleathitch.scheduler.model.TransactionSize
+
 /** The result of a commit to the decision log. */
 sealed interface CommitResult {
     /** The commit was applied, at [revision] of the key-value store. */
@@ -10,4 +12,16 @@
      * longer exists or another controller has been elected.
      */
     data class Refused(val failedKeys: List<String>) : CommitResult
+
+    /**
+     * The commit was not applied and never will be: the key-value store doesn't accept a transaction of this [size], and said so of every
+     * attempt. A smaller one may be planned in its place.
+     */
+    data class Rejected(val size: TransactionSize) : CommitResult
+
+    /**
+     * The key-value store doesn't accept a transaction of this [size], but an earlier attempt to write it may still be applied. Nothing
+     * may be planned in its place; only a new term, whose leader's key that attempt doesn't expect, can decide its fate.
+     */
+    data class Undecided(val size: TransactionSize) : CommitResult
 }
--- a/src/main/kotlin/cleathitch/storage/LogStorage.kt
+++ b/src/main/kotlin/cleathitch/storage/LogStorage.kt
@@ -11,7 +11,7 @@
 import cleathitch.scheduler.log.LogKeys
 import cleathitch.scheduler.log.Mutation
 import cleathitch.scheduler.log.RecoveredState
-import cleathitch.scheduler.model.StoreLimits
+import cleathitch.scheduler.log.StoreHealth
 import cleathitch.scheduler.model.Term
 import io.micrometer.core.instrument.MeterRegistry
 import kotlinx.coroutines.delay
@@ -23,14 +23,16 @@
  *
  * Every commit is a compare-and-swap on the revisions of the leader's key and of the head key, and rewrites the head key. The check
  * of the leader's key keeps a deposed leader from committing. The check of the head key keeps a delayed duplicate of a commit from
- * being applied, even after compaction has deleted the entries that the commit wrote. [monotonicMs] is the monotonic clock.
+ * being applied, even after compaction has deleted the entries that the commit wrote.
+ *
+ * [storeHealth] is what this process has learnt about the key-value store, and outlives the term; [monotonicMs] is the monotonic clock.
  */
 class LogStorage(
     private val store: KeyValueStoreClient,
     private val keyPrefix: String,
     private val leaderKey: String,
     private val term: Term,
-    private val limits: StoreLimits,
+    val storeHealth: StoreHealth,
     private val processingTimes: ProcessingTimes,
     private val meterRegistry: MeterRegistry,
     private val monotonicMs: () -> Long,
@@ -102,12 +104,15 @@
         return processingTimes.measure(ProcessingStage.REPLAY) { LogCodec.decodeRecoveredState(relativeEntries) }
     }
 
-    /** Writes [commit], resending the same content until it is certain whether it was applied. */
+    /**
+     * Writes [commit], resending the same content until it is certain whether it was applied. A commit that the store rejects for its
+     * content isn't resent.
+     */
     suspend fun commit(commit: Commit): CommitResult {
         val transaction = processingTimes.measure(ProcessingStage.COMMIT_ENCODING) {
             Transaction(mapOf(leaderKey to term.revision, headKey to headRevision), commit.changes.flatMap(::writesOf))
         }
-        val attempts = CommitAttempts(term, commit.index, { transaction.size }, limits, meterRegistry, monotonicMs)
+        val attempts = CommitAttempts(term, commit.index, { transaction.size }, storeHealth.limits, meterRegistry, monotonicMs)
         while (true) {
             val result = store.compareAndSwap(transaction)
             attempts.record(result)
@@ -115,13 +120,16 @@
                 is CompareAndSwapResult.Applied -> return committed(result.revision)
                 is CompareAndSwapResult.Refused ->
                     return revisionOfEarlierAttempt(commit)?.let(::committed) ?: CommitResult.Refused(result.failedKeys)
-                is CompareAndSwapResult.LeaseNotFound, is CompareAndSwapResult.Rejected,
-                is CompareAndSwapResult.Unavailable, is CompareAndSwapResult.Unknown,
-                -> delay(RETRY_DELAY_MS)
+                is CompareAndSwapResult.Rejected, CompareAndSwapResult.LeaseNotFound ->
+                    return if (attempts.isFateUnknown) fateAfterRejection(commit, transaction) else CommitResult.Rejected(transaction.size)
+                is CompareAndSwapResult.Unavailable, is CompareAndSwapResult.Unknown -> delay(RETRY_DELAY_MS)
             }
         }
     }
 
+    private suspend fun fateAfterRejection(commit: Commit, transaction: Transaction): CommitResult =
+        revisionOfEarlierAttempt(commit)?.let(::committed) ?: CommitResult.Undecided(transaction.size)
+
     private fun committed(revision: Long): CommitResult {
         headRevision = revision
         return CommitResult.Committed(revision)
