--- a/src/main/kotlin/cleathitch/scheduler/LogWriter.kt
+++ b/src/main/kotlin/cleathitch/scheduler/LogWriter.kt
@@ -123,7 +123,7 @@
         val nowMs = context.now.monotonicMs
         if (!context.isLeaseHeld()) lastWithoutLeaseMs = nowMs
         val waitedMs = context.leaseRenewedMs - maxOf(inFlightSinceMs ?: nowMs, lastWithoutLeaseMs)
-        if (waitedMs <= timings.leaderLeaseMs * HANDOVER_LEASES ) return
+        if (waitedMs <= timings.leaderLeaseMs * HANDOVER_LEASES || storeHealth.hasHandedOver) return
         storeHealth.recordHandover()
         context.stepDown("commit_overdue: no answer for $waitedMs ms although the lease is renewed", transferLeadership = true)
     }
