Keep messages between controllers below the size that they accept

The refused commands went out over a connection each, and a refused batch counted as a leader that can't be reached, so that users of that follower got 503. Image cache hints held all images of the fleet in each message (8,903,041 bytes).

Cause: the lists were limited by count alone, and PeerClient took a 400 for an outage.

Change: MessageParts splits by estimated size as well, to half of the limit; hints hold the images of their own machines. A 400 is PeerResult.Rejected, logged with size and limit, and not an outage. What is sent is unchanged in form.

--- a/src/main/kotlin/cleathitch/controller/BatchForwarder.kt
+++ b/src/main/kotlin/cleathitch/controller/BatchForwarder.kt
@@ -29,6 +29,7 @@
         return when (val result = client.request(address, encoded, timeoutMs)) {
             is PeerResult.Answered -> resultOf(leader, batch, result.reply)
             PeerResult.Unreachable -> BatchResult.Unreachable
+            PeerResult.Rejected -> BatchResult.Rejected
             PeerResult.TimedOut -> BatchResult.TimedOut
         }
     }
--- a/src/main/kotlin/cleathitch/peers/BatchResult.kt
+++ b/src/main/kotlin/cleathitch/peers/BatchResult.kt
@@ -17,6 +17,9 @@
     /** The connection failed, or the answer isn't a valid peer reply. */
     data object Unreachable : BatchResult
 
+    /** The leader doesn't accept a request of this content. It works, and the next batch may be accepted. */
+    data object Rejected : BatchResult
+
     /** The connection succeeded, but there was no answer in time. */
     data object TimedOut : BatchResult
 }
--- a/src/main/kotlin/cleathitch/peers/LeaderBatcher.kt
+++ b/src/main/kotlin/cleathitch/peers/LeaderBatcher.kt
@@ -77,7 +77,7 @@
         lastUnreachableMs = if (result is BatchResult.Unreachable) nowMs() else null
         when (result) {
             is BatchResult.Answered -> complete(batch, result, receiver.term)
-            BatchResult.NotLeading, BatchResult.Unreachable, BatchResult.TimedOut -> completeUnanswered(batch)
+            BatchResult.NotLeading, BatchResult.Unreachable, BatchResult.TimedOut, BatchResult.Rejected -> completeUnanswered(batch)
         }
     }
 
@@ -109,12 +109,16 @@
     }
 
     /**
-     * Removes the next results from the queue and returns those of [term]. Results of earlier terms are dropped, because delivery IDs
+     * Removes the next results of [term] from the queue and returns them, as many as a batch has room for. Results of earlier terms are dropped, because delivery IDs
      * are unique only within a term.
      */
     private fun takeDeliveryResults(term: Long): List<DeliveryResult> {
-        val taken = List(minOf(deliveryResults.size, MAX_DELIVERY_RESULTS_PER_BATCH)) { deliveryResults.removeFirst() }
-        return taken.filter { it.term == term }
+        deliveryResults.removeAll { it.term != term }
+        val candidates = deliveryResults.take(MAX_DELIVERY_RESULTS_PER_BATCH)
+        val batches = MessageParts.split(candidates, MAX_DELIVERY_RESULTS_PER_BATCH) { HeartbeatQueue.estimatedBytes(it.heartbeat) }
+        val taken = batches.firstOrNull().orEmpty()
+        repeat(taken.size) { deliveryResults.removeFirst() }
+        return taken
     }
 
     private fun completeAllWithoutLeader() {
@@ -132,7 +136,7 @@
         /** Users wait 2 s for an answer; the remaining 200 ms are for the round trip between the user and this controller. */
         const val POLL_TIMEOUT_MS = 1800L
 
-        /** Polls and delivery results are small, so only their number is limited. [HeartbeatQueue] also limits the size of heartbeats. */
+        /** Polls are small, so only their number is limited. [HeartbeatQueue] also limits the size of heartbeats. */
         const val MAX_POLLS_PER_BATCH = 400
         const val MAX_DELIVERY_RESULTS_PER_BATCH = 40
         const val MAX_DELIVERY_RESULTS = 2000
--- a/src/main/kotlin/cleathitch/peers/PeerClient.kt
+++ b/src/main/kotlin/cleathitch/peers/PeerClient.kt
@@ -23,13 +23,22 @@
     /** Sends a request that is already encoded, so that a request to several peers is encoded only once. */
     suspend fun request(peer: Address, encoded: ByteArray, timeoutMs: Long): PeerResult =
         when (val result = client.call(peer, HttpMethod.POST, PATH, encoded, timeoutMs)) {
-            is CallResult.Answered -> if (result.status == OK) decode(peer, result) else PeerResult.Unreachable
+            is CallResult.Answered -> when (result.status) {
+                OK -> decode(peer, result)
+                BAD_REQUEST -> rejected(peer, encoded.size)
+                else -> PeerResult.Unreachable
+            }
             is CallResult.Failed -> when (result.failure) {
                 CallFailure.NO_ANSWER_IN_TIME -> PeerResult.TimedOut
                 CallFailure.NO_CONNECTION_IN_TIME, CallFailure.CONNECT_FAILED, CallFailure.CONNECTION_LOST -> PeerResult.Unreachable
             }
         }
 
+    private fun rejected(peer: Address, bytes: Int): PeerResult {
+        log.error("event=peer_request_rejected server={} bytes={} limit={}", peer, bytes, MAX_BODY_BYTES)
+        return PeerResult.Rejected
+    }
+
     private fun decode(peer: Address, answer: CallResult.Answered): PeerResult = try {
         PeerResult.Answered(PeerCodec.decodeReply(answer.body))
     } catch (e: SerializationException) {
@@ -42,8 +51,8 @@
         const val PATH = "/peer"
 
         /**
-         * The maximum size of a request's body, in bytes. Batches are far smaller: each of their lists is limited. A heartbeat that
-         * exceeds the limit of its list is the only one in the list, and has at most [MessageCodec.MAX_BODY_BYTES].
+         * The maximum size of a request's body, in bytes. The senders' messages stay below it: their lists are limited to half of it
+         * together, and an item that exceeds the limit of its list is the only one there and has at most [MessageCodec.MAX_BODY_BYTES].
          */
         const val MAX_BODY_BYTES = 4 * MessageCodec.MAX_BODY_BYTES
 
@@ -51,6 +60,7 @@
         const val CONNECTIONS = 16
         private const val CONNECT_TIMEOUT_MS = 500
         private const val OK = 200
+        private const val BAD_REQUEST = 400
         private val log = LoggerFactory.getLogger("cleathitch.peers")
     }
 }
--- a/src/main/kotlin/cleathitch/peers/PeerRequest.kt
+++ b/src/main/kotlin/cleathitch/peers/PeerRequest.kt
@@ -48,16 +48,30 @@
             indexes.filter { it in images.indices && it in sizesGb.indices }.associate { images[it] to sizesGb[it] }
 
         companion object {
-            /** Keeps a message well below [PeerClient.MAX_BODY_BYTES], and limits how long its encoding blocks the event loop. */
+            /** Limits how long the encoding of a message blocks the event loop. */
             private const val MACHINES_PER_MESSAGE = 200
 
-            /** The messages that together contain [caches]. */
-            fun of(caches: Map<MachineId, ImageCache>): List<ImageCacheHints> {
+            private const val BYTES_PER_IMAGE = 20
+            private const val BYTES_PER_MACHINE = 24
+            private const val BYTES_PER_CACHED_IMAGE = 5
+
+            /** The messages that together contain [caches]; each holds the images of its own machines only. */
+            fun of(caches: Map<MachineId, ImageCache>): List<ImageCacheHints> =
+                MessageParts.split(caches.entries.toList(), MACHINES_PER_MESSAGE, ::estimatedBytes).map(::message)
+
+            /** An upper bound: images that several machines of a message share are stored once. */
+            private fun estimatedBytes(entry: Map.Entry<MachineId, ImageCache>): Int {
+                val images = entry.value.sizesGb.keys
+                val imageBytes = images.sumOf { MessageParts.textBytes(it) + BYTES_PER_IMAGE + BYTES_PER_CACHED_IMAGE }
+                return BYTES_PER_MACHINE + MessageParts.textBytes(entry.key.text) + imageBytes
+            }
+
+            private fun message(caches: List<Map.Entry<MachineId, ImageCache>>): ImageCacheHints {
                 val sizes = LinkedHashMap<String, Double>()
-                caches.values.forEach { sizes.putAll(it.sizesGb) }
+                caches.forEach { sizes.putAll(it.value.sizesGb) }
                 val indexes = sizes.keys.withIndex().associate { (index, image) -> image to index }
                 val machineCaches = caches.map { (id, it) -> MachineCache(id, it.incarnation, it.sizesGb.keys.map(indexes::getValue)) }
-                return machineCaches.chunked(MACHINES_PER_MESSAGE) { ImageCacheHints(sizes.keys.toList(), sizes.values.toList(), it) }
+                return ImageCacheHints(sizes.keys.toList(), sizes.values.toList(), machineCaches)
             }
         }
     }
--- a/src/main/kotlin/cleathitch/peers/WorkerCommandDelivery.kt
+++ b/src/main/kotlin/cleathitch/peers/WorkerCommandDelivery.kt
@@ -39,8 +39,8 @@
             if (follower == null) {
                 routeCommands.forEach { sendDirectly(scope, it) }
             } else {
-                routeCommands.chunked(MAX_COMMANDS_PER_REQUEST).forEach { chunk ->
-                    scope.launch { sendViaFollower(scope, follower, chunk) }
+                MessageParts.split(routeCommands, MAX_WORKERS_PER_REQUEST, ::estimatedBytes).forEach { part ->
+                    scope.launch { sendViaFollower(scope, follower, part) }
                 }
             }
         }
@@ -64,6 +64,13 @@
         is Effect.Probe -> followers.getOrNull(nextProbeRoute++ % (followers.size + 1))
     }
 
+    private fun estimatedBytes(command: Effect.ToWorker): Int = when (command) {
+        is Effect.Probe -> BYTES_PER_WORKER + MessageParts.textBytes(command.address)
+        is Effect.SendCommands ->
+            BYTES_PER_WORKER + MessageParts.textBytes(command.address) +
+                command.commands.sumOf { BYTES_PER_COMMAND + MessageParts.textBytes(it.attempt.task.job.text) }
+    }
+
     private suspend fun sendViaFollower(scope: CoroutineScope, follower: String, commands: List<Effect.ToWorker>) {
         val messages = commands.map(::register)
         if (routes.sendToFollower(follower, messages)) return
@@ -95,6 +102,8 @@
     }
 
     private companion object {
-        const val MAX_COMMANDS_PER_REQUEST = 50
+        const val MAX_WORKERS_PER_REQUEST = 50
+        const val BYTES_PER_WORKER = 64
+        const val BYTES_PER_COMMAND = 48
     }
 }
--- a/src/main/kotlin/cleathitch/workers/HeartbeatQueue.kt
+++ b/src/main/kotlin/cleathitch/workers/HeartbeatQueue.kt
@@ -146,11 +146,7 @@
 
     private fun estimatedBytes(forwarded: ForwardedHeartbeat): Int = when (forwarded) {
         is ForwardedHeartbeat.Unchanged -> UNCHANGED_HEARTBEAT_BYTES + forwarded.machine.text.length
-        is ForwardedHeartbeat.Full -> forwarded.heartbeat.run {
-            val texts = machine.text.length + address.length + type.length + zone.length
-            val tasksBytes = tasks.sumOf { TASK_BYTES + it.attempt.task.job.text.length }
-            FULL_HEARTBEAT_BYTES + BYTES_PER_CHAR * texts + tasksBytes
-        }
+        is ForwardedHeartbeat.Full -> estimatedBytes(forwarded.heartbeat)
     }
 
     companion object {
@@ -169,6 +165,13 @@
          */
         private const val MAX_ACKNOWLEDGED = 10_000
 
+        /** The bytes that [heartbeat] takes in a message between controllers, rounded up. */
+        fun estimatedBytes(heartbeat: Heartbeat): Int = heartbeat.run {
+            val texts = machine.text.length + address.length + type.length + zone.length
+            val tasksBytes = tasks.sumOf { TASK_BYTES + it.attempt.task.job.text.length }
+            FULL_HEARTBEAT_BYTES + BYTES_PER_CHAR * texts + tasksBytes
+        }
+
         private const val UNCHANGED_HEARTBEAT_BYTES = 48
         private const val FULL_HEARTBEAT_BYTES = 64
         private const val TASK_BYTES = 48
