Give a machine no more tasks than its heartbeats have room for

Callers would see: the worker of a machine with thousands of tiny tasks sends heartbeats of over 64 KiB, which every controller refuses, so its lease ends with all its tasks; commands to it exceed its own limit too. No report; found while looking for messages that grow with users' work.

Cause: placement counted resources only, and a message held all commands that are due.

Change: at most 500 tasks a machine, ended ones that aren't forgotten yet included, and 500 commands a message; the others follow with the next heartbeat. The longest entries for these stay below 64 KiB.

--- a/src/main/kotlin/cleathitch/scheduler/machines/CommandDispatcher.kt
+++ b/src/main/kotlin/cleathitch/scheduler/machines/CommandDispatcher.kt
@@ -117,8 +117,12 @@
         is WorkerCommand.Forget -> "command=forget attempt=${command.attempt}"
     }
 
-    /** The commands that are due, or none if the range of tokens is exhausted: a message without a new token couldn't be fenced. */
-    private fun commandsFor(machine: Machine) = if (token.remainingCount == 0L) emptyList() else workerReconciler.commandsFor(machine)
+    /**
+     * The commands that are due, as many as a message has room for; the others are still due with the next heartbeat. None if the range
+     * of tokens is exhausted: a message without a new token couldn't be fenced.
+     */
+    private fun commandsFor(machine: Machine) =
+        if (token.remainingCount == 0L) emptyList() else workerReconciler.commandsFor(machine).take(MAX_COMMANDS_PER_MESSAGE)
 
     private fun recordSent(machine: Machine, commands: List<WorkerCommand>) {
         for (command in commands) {
@@ -131,4 +135,9 @@
             }
         }
     }
+
+    private companion object {
+        /** Keeps a message below the worker's limit of 64 KiB; a command takes at most some 120 bytes. */
+        const val MAX_COMMANDS_PER_MESSAGE = 500
+    }
 }
--- a/src/main/kotlin/cleathitch/scheduler/model/PlacementClass.kt
+++ b/src/main/kotlin/cleathitch/scheduler/model/PlacementClass.kt
@@ -45,14 +45,17 @@
         if (cpus > 0) tasks = min(tasks, (freeCpus + RESOURCE_TOLERANCE) / cpus)
         if (gpus > 0) tasks = min(tasks, (freeGpus + RESOURCE_TOLERANCE) / gpus)
         if (memoryGb > 0) tasks = min(tasks, (freeMemoryGb + RESOURCE_TOLERANCE) / memoryGb)
-        return floor(min(tasks, MAX_FITTING_TASKS)).toInt().coerceAtLeast(0)
+        return floor(min(tasks, MAX_TASKS_PER_MACHINE.toDouble())).toInt().coerceAtLeast(0)
     }
 
     /** The number of tasks that fit concurrently on an empty machine of [type]. */
     fun fittingTasks(type: MachineType): Int = fittingTasks(type.cpus, type.gpus, type.memoryGb)
 
-    private companion object {
-        /** Upper bound on the number of fitting tasks; returned for tasks that request no resources. Far above what a machine can run. */
-        const val MAX_FITTING_TASKS = 1e6
+    companion object {
+        /**
+         * The maximum number of tasks on a machine, whatever resources they request. A heartbeat with the longest entries for this many
+         * tasks stays below the limit of 64 KiB for a worker's request.
+         */
+        const val MAX_TASKS_PER_MACHINE = 500
     }
 }
--- a/src/main/kotlin/cleathitch/scheduler/placement/CandidateMachine.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/CandidateMachine.kt
@@ -6,6 +6,7 @@
 import cleathitch.scheduler.model.JobKind
 import cleathitch.scheduler.model.MachineType
 import cleathitch.scheduler.model.PlacementClass
+import cleathitch.scheduler.model.TaskState
 
 /** A machine considered in one scheduling round, with the resources that the round hasn't reserved yet. */
 internal class CandidateMachine(val machine: Machine, type: MachineType, usage: ResourceUsage?, attempts: Collection<Attempt>) {
@@ -13,6 +14,10 @@
         private set
     private var freeGpus = type.gpus - (usage?.gpus ?: 0.0)
     private var freeMemoryGb = type.memoryGb - (usage?.memoryGb ?: 0.0)
+
+    /** How many more tasks the machine's heartbeats have room for; they also report tasks that have ended until those are forgotten. */
+    private var freeTasks =
+        PlacementClass.MAX_TASKS_PER_MACHINE - attempts.size - machine.reportedTasks.count { it.state == TaskState.EXITED }
     val totalCpus = type.cpus
     val zone: String get() = machine.offer.zone
 
@@ -27,7 +32,7 @@
         .map { it.job.spec.image }
         .filterTo(HashSet()) { !machine.hasImage(it) }
 
-    fun fittingTasks(placementClass: PlacementClass): Int = placementClass.fittingTasks(freeCpus, freeGpus, freeMemoryGb)
+    fun fittingTasks(placementClass: PlacementClass): Int = minOf(freeTasks, placementClass.fittingTasks(freeCpus, freeGpus, freeMemoryGb))
 
     fun fits(placementClass: PlacementClass): Boolean = fittingTasks(placementClass) > 0
 
@@ -36,5 +41,6 @@
         freeCpus -= placementClass.cpus
         freeGpus -= placementClass.gpus
         freeMemoryGb -= placementClass.memoryGb
+        freeTasks--
     }
 }
