--- a/src/test/kotlin/cleathitch/loopback/LoopbackCluster.kt
+++ b/src/test/kotlin/cleathitch/loopback/LoopbackCluster.kt
@@ -73,15 +73,15 @@
     }
 
     /** The body of a submission, for the only team and the only job class in the settings. */
-    fun submissionBody(id: String, tasks: Int = 3): ObjectNode =
+    fun submissionBody(id: String, tasks: Int = 3, cpus: Double = 1.0): ObjectNode =
         MessageCodec.newMap().put("nameId", id).put("cuadrilla", "c").put("ownerCrew", "t").put("oficio", "array")
-            .put("urgencia", "normal").put("tareas", tasks).put("vcpus", 1.0).put("gpus", 0.0).put("memoryGb", 1.0)
+            .put("urgencia", "normal").put("tareas", tasks).put("vcpus", cpus).put("gpus", 0.0).put("memoryGb", cpus)
             .put("imagen", "i").put("pullGb", 1.0).put("oneZone", false).put("scatter", false).put("prestados", false)
             .put("aproxS", 1.0).put("hitoS", 0.0).put("guardadoS", 0.0)
 
     /** Repeats the submission of the job [id] until [node] accepts it. */
-    fun submit(node: Int, id: String, tasks: Int = 3): ControllerReply = await("submission of $id at n$node") {
-        LoopbackHttp.callOrNull(port(node), "POST", "/submissions", submissionBody(id, tasks))?.takeIf { it.isSuccess }
+    fun submit(node: Int, id: String, tasks: Int = 3, cpus: Double = 1.0): ControllerReply = await("submission of $id at n$node") {
+        LoopbackHttp.callOrNull(port(node), "POST", "/submissions", submissionBody(id, tasks, cpus))?.takeIf { it.isSuccess }
     }
 
     /** Polls [node] until it knows the job [id], in whatever state. */
