--- a/src/main/kotlin/cleathitch/peers/LeaderBatcher.kt
+++ b/src/main/kotlin/cleathitch/peers/LeaderBatcher.kt
@@ -109,8 +109,8 @@
     }
 
     /**
-     * Removes the next results of [term] from the queue and returns them, as many as a batch has room for. Results of earlier terms are dropped, because delivery IDs
-     * are unique only within a term.
+     * Removes the next results of [term] from the queue and returns them, as many as a batch has room for. Results of earlier terms are
+     * dropped, because delivery IDs are unique only within a term.
      */
     private fun takeDeliveryResults(term: Long): List<DeliveryResult> {
         deliveryResults.removeAll { it.term != term }
