--- a/src/test/kotlin/cleathitch/scheduler/LargeJobTest.kt
+++ b/src/test/kotlin/cleathitch/scheduler/LargeJobTest.kt
@@ -69,6 +69,40 @@
         assertNoCommitExceedsLimits()
     }
 
+    /** Time and space that the largest job costs; for the size to plan for, run with `-Dlarge.job.machines=1770`. */
+    @Test
+    fun `a new leader replays the log of a large job that fills the fleet`() {
+        val fleet = Integer.getInteger("large.job.machines", MACHINES)
+        becomeLeaderWithFleet(fleet)
+        machines = List(fleet) { FakeMachine(heartbeat(it)) }
+        submit(LARGE_JOB, tasks = 100_000, cpus = CPUS_PER_TASK / 2)
+        val firstCommit = commits.size
+        val startMs = nowMs
+        while (attempts().size < 2 * TASKS_PER_MACHINE * fleet) run(rounds = 1)
+        val startedMs = nowMs - startMs
+        val written = commits.drop(firstCommit)
+        run(10 * ROUNDS_PER_COMPACTION)
+
+        val entries = storedEntries()
+        val heapBeforeMb = usedHeapMb()
+        val replayStartNs = System.nanoTime()
+        failOver()
+        val replayMs = (System.nanoTime() - replayStartNs) / 1_000_000
+        println(
+            "large job, $fleet machines: ${attempts().size} tasks started in $startedMs ms, ${written.size} commits, " +
+                "${written.sumOf { TransactionLimits.transaction(it).size.bytes }} bytes; then ${entries.size} entries, " +
+                "${entries.sumOf {
+                    MessageCodec.jsonBytes(it.value)
+                }} bytes stored, replay $replayMs ms, heap $heapBeforeMb MB before, ${usedHeapMb()} MB after",
+        )
+        assertEquals(emptyList<AttemptId>(), sendHeartbeats().stoppedAttempts())
+    }
+
+    private fun usedHeapMb(): Long {
+        repeat(2) { System.gc() }
+        return Runtime.getRuntime().run { totalMemory() - freeMemory() } / 1_000_000
+    }
+
     private fun startLargeJob() {
         becomeLeaderWithFleet(MACHINES)
         machines = List(MACHINES) { FakeMachine(heartbeat(it)) }
@@ -76,8 +110,8 @@
         run(2 * ROUNDS_PER_COMPACTION)
     }
 
-    private fun submit(job: Int, tasks: Int) {
-        val spec = SimulatedCluster.jobSpec(job, tasks = tasks).copy(cpus = CPUS_PER_TASK, memoryGb = CPUS_PER_TASK)
+    private fun submit(job: Int, tasks: Int, cpus: Double = CPUS_PER_TASK) {
+        val spec = SimulatedCluster.jobSpec(job, tasks = tasks).copy(cpus = cpus, memoryGb = cpus)
         step(Input.Submit(request(), spec))
     }
 
@@ -116,8 +150,8 @@
         const val SMALL_JOB = 2
         const val MACHINES = 300
 
-        /** A machine has room for 16 such tasks. */
-        const val CPUS_PER_TASK = 0.25
+        const val TASKS_PER_MACHINE = 16
+        const val CPUS_PER_TASK = 4.0 / TASKS_PER_MACHINE
 
         /** More live attempts than a transaction has room for. */
         const val LIVE_TASKS = 4000
