--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,7 +5,7 @@
     echo "not built: see deploy/service.toml and review/build-2.sh" >&2
     exit 2
 fi
-java -Xmx256m -Dsun.net.httpserver.nodelay=true -cp 'target/review-2:target/lib/*' Cases "$PWD" guarantee "$PWD/review/5" &
+java -Xmx256m -Dsun.net.httpserver.nodelay=true -cp 'target/review-2:target/lib/*' Cases "$PWD" refused-zone "$PWD/review/5" &
 pid=$!
 trap 'kill "$pid" 2>/dev/null; wait "$pid"; exit 2' INT TERM
 wait "$pid"
