Records: write every answer, report and command

record.txt has to hold what was sent, answered and run. It lacked polls that were answered with pending or not at all, the machines' reports with their answers, and the commands as they were sent. The stand-ins write them now, and wait until the controllers have ended.

--- a/review/rig/Cloud.java
+++ b/review/rig/Cloud.java
@@ -87,6 +87,7 @@
         Map<String, Object> request = Wire.unpackMap(body);
         if (path.equals("/hosts")) return rent(request);
         if (path.equals("/hosts/return")) {
+            Log.line("cloud", "n" + node + " returns " + request.get("burros") + ": 200");
             for (Object name : (List<Object>) request.get("burros")) remove((String) name, "returned by n" + node);
             return new Http.Reply(200, Wire.map());
         }
--- a/review/rig/Machine.java
+++ b/review/rig/Machine.java
@@ -320,6 +320,8 @@
         }
         awaitAwake();
         if (Log.now() - sentAt > 4) reply = null;
+        Log.line(name, "report to n" + target + " " + report.get("jornada") + "." + report.get("folio") + " vara " + report.get("vara") + " " + report.get("tareas")
+            + ": " + (reply == null ? "no answer" : reply.status + " " + reply.body));
         synchronized (this) {
             if (gone) return;
             checkLease();
@@ -407,9 +409,11 @@
             checkLease();
             if (request.get("vara") == null || request.get("jornada") == null) return new Http.Reply(400, null);
             if (Wire.num(request.get("vara")) < token || Wire.num(request.get("jornada")) != session) {
+                Log.line(name, "/do " + request + ": 409");
                 return new Http.Reply(409, report());
             }
             see(Wire.num(request.get("vara")));
+            Log.line(name, "/do " + request + ": 200");
             execute(request.get("ordenes"), "/do");
             return new Http.Reply(200, report());
         }
--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -207,5 +207,12 @@
     @Override
     public void close() {
         for (Process process : processes) if (process != null) process.destroyForcibly();
+        for (Process process : processes) {
+            try {
+                if (process != null) process.waitFor();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
     }
 }
--- a/review/rig/Users.java
+++ b/review/rig/Users.java
@@ -96,9 +96,10 @@
 
     boolean submitOnce(Rig.JobInfo job, int node) {
         Seen before = new Seen(job);
+        Log.line("user", "sends submit " + job.id + " to n" + node + ": " + job.body());
         Http.Reply reply = Http.call(rig.port(node), "POST", "/submissions", job.body(), 5000);
         count(reply);
-        if (reply == null) return false;
+        if (reply == null) return unanswered("submit " + job.id, node);
         log(node, "submit " + job.id, reply);
         if (reply.status == 400 || reply.status == 422) {
             if (before.accepted) Log.broken("forgotten", job.id + " is answered " + reply.status + " by n" + node + " though accepted");
@@ -116,15 +117,14 @@
         Seen before = new Seen(job);
         Http.Reply reply = Http.call(rig.port(node), "GET", "/submissions/" + job.id, null, 2000);
         count(reply);
-        if (reply == null) return false;
+        if (reply == null) return unanswered("poll " + job.id, node);
+        log(node, "poll " + job.id, reply);
         if (reply.status == 404) {
-            log(node, "poll " + job.id, reply);
             if (before.accepted) Log.broken("forgotten", job.id + " is answered 404 by n" + node + " though accepted");
             return true;
         }
         if (reply.status != 200) return false;
         job.lastAnswerAt = Log.now();
-        if (!reply.body.get("estado").equals("pending") && !reply.body.get("estado").equals("running")) log(node, "poll " + job.id, reply);
         check(job, before, (String) reply.body.get("estado"), node);
         return true;
     }
@@ -144,7 +144,7 @@
         Seen before = new Seen(job);
         Http.Reply reply = Http.call(rig.port(node), "POST", "/submissions/" + job.id + "/abort", Wire.map(), 5000);
         count(reply);
-        if (reply == null) return false;
+        if (reply == null) return unanswered("abort " + job.id, node);
         log(node, "abort " + job.id, reply);
         if (reply.status == 404 && before.accepted) Log.broken("forgotten", job.id + " is answered 404 to abort by n" + node + " though accepted");
         if (reply.status != 200) return false;
@@ -154,6 +154,11 @@
         return true;
     }
 
+    private boolean unanswered(String what, int node) {
+        Log.line("user", what + " at n" + node + ": no answer");
+        return false;
+    }
+
     private synchronized void count(Http.Reply reply) {
         if (reply != null && (reply.status < 300 || reply.status == 404)) answered++; else unanswered++;
     }
