Log and count why a job waits; one answer to which zones may take a task

Cause: when a job waits, neither log nor metrics say whether there is no room, the zone is closed for it, offers are refused, the team's limit is reached, or room is being made. And where a task may run was derived per task, inside placement, out of reach of the demand for machines.

Change: job_waiting (with its reason, when that changes), jobs.waiting by reason, and counts of preempted tasks. ZoneAllowance says how many more tasks each zone may take; it is computed once per job and round. The round's inner class becomes JobPlacer and Preemptor, RentableOffers is the one place that knows which offers can be had. An overdue job's first pass no longer plans victims, which the main pass does again.

--- a/src/main/kotlin/cleathitch/leader/LeaderDependencies.kt
+++ b/src/main/kotlin/cleathitch/leader/LeaderDependencies.kt
@@ -16,6 +16,7 @@
     val clocks: Clocks,
     val meterRegistry: MeterRegistry,
     val processingTimes: ProcessingTimes,
+    val placementMeters: PlacementMeters,
 
     /** The maximum number of requests queued for the scheduler; further requests are refused immediately. */
     val maxQueuedRequests: Int,
--- a/src/main/kotlin/cleathitch/leader/LeaderTerm.kt
+++ b/src/main/kotlin/cleathitch/leader/LeaderTerm.kt
@@ -69,7 +69,10 @@
     fun recordDeliveryResults(results: List<DeliveryResultMessage>) = delivery.onDeliveryResults(results)
 
     /** Ends all pending requests; no further requests are accepted. */
-    fun end() = requests.close()
+    fun end() {
+        requests.close()
+        dependencies.placementMeters.endTerm()
+    }
 
     /** Recovers the scheduler, calls [onRecovered], and leads until cancelled. */
     suspend fun run(onRecovered: () -> Unit) = coroutineScope {
@@ -146,6 +149,7 @@
         val effects = dependencies.processingTimes.measure(ProcessingStage.SCHEDULER) {
             scheduler.handle(batch, clocks.clockReading())
         }
+        dependencies.placementMeters.record(scheduler.placementStatistics)
         requests.recordBatch(batch.size, durationMs = (System.nanoTime() - startNs) / NS_PER_MS)
         return effects
     }
--- /dev/null
+++ b/src/main/kotlin/cleathitch/scheduler/JobPlacer.kt
@@ -0,0 +1,120 @@
+package cleathitch.scheduler
+
+import cleathitch.scheduler.api.LogLevel
+import cleathitch.scheduler.api.SchedulerContext
+import cleathitch.scheduler.api.WaitReason
+import cleathitch.scheduler.api.logEvent
+import cleathitch.scheduler.capacity.UnplacedTasks
+import cleathitch.scheduler.jobs.Job
+import cleathitch.scheduler.jobs.Quota
+import cleathitch.scheduler.log.DecisionLog
+import cleathitch.scheduler.log.Event
+import cleathitch.scheduler.machines.CommandDispatcher
+import cleathitch.scheduler.machines.Inventory
+import cleathitch.scheduler.machines.Machine
+import cleathitch.scheduler.machines.RentableOffers
+import cleathitch.scheduler.model.JobKind
+import cleathitch.scheduler.model.PlacementClass
+import cleathitch.scheduler.placement.PlacementRound
+import cleathitch.scheduler.placement.ZoneAllowance
+
+/** Starts the waiting tasks of jobs in one scheduling round, and collects the tasks that couldn't be placed. */
+// All parameters are dependencies; grouping them in one object would only hide them.
+@Suppress("LongParameterList")
+internal class JobPlacer(
+    private val context: SchedulerContext,
+    private val inventory: Inventory,
+    private val quota: Quota,
+    private val decisionLog: DecisionLog,
+    private val dispatcher: CommandDispatcher,
+    private val waitReasons: WaitReasonLog,
+    private val preemptor: Preemptor,
+    private val round: PlacementRound,
+) {
+    private val rentableOffers = RentableOffers(inventory)
+    private val unplaceableClasses = HashSet<PlacementClass>()
+    private val unplaced = ArrayList<UnplacedTasks>()
+
+    /** The tasks that need room which neither exists nor is being made, in scheduling order. */
+    val unplacedTasks: List<UnplacedTasks> get() = unplaced
+
+    /** Starts one waiting task of the job, or the whole gang, if there is room; makes no room and records no demand. */
+    fun placeFirst(job: Job) {
+        val allowance = ZoneAllowance.of(job, inventory)
+        if (job.spec.kind == JobKind.GANG) placeGang(job, allowance) else placeTasks(job, allowance, limit = 1)
+    }
+
+    /** Starts the job's waiting tasks; a gang is started all at once or not at all. Makes room or records demand for the others. */
+    fun place(job: Job) {
+        val allowance = ZoneAllowance.of(job, inventory)
+        if (job.spec.kind != JobKind.GANG) return recordWaiting(job, placeTasks(job, allowance))
+        if (!placeGang(job, allowance) && mayStartGang(job)) recordUnplaced(job, allowance, job.waitingTasks)
+    }
+
+    /** Starts up to [limit] waiting tasks; returns what the zones may take after that. */
+    private fun placeTasks(job: Job, allowance: ZoneAllowance, limit: Int = Int.MAX_VALUE): ZoneAllowance {
+        var remaining = allowance
+        repeat(minOf(limit, job.waitingTasks)) {
+            val index = job.nextWaitingTask()
+            if (index == null || !quota.allows(job.spec)) return remaining
+            val machine = chooseMachine(job, remaining) ?: return remaining
+            start(job, index, machine)
+            remaining = remaining.after(machine.offer.zone)
+        }
+        return remaining
+    }
+
+    private fun chooseMachine(job: Job, allowance: ZoneAllowance): Machine? {
+        val placementClass = job.spec.placementClass
+        if (placementClass in unplaceableClasses) return null
+        val machine = round.chooseMachine(job, allowance)
+        // No machine fits the other jobs of this class either, so none is sought for them in this round. This doesn't hold if the
+        // allowance depends on where the tasks of each job run.
+        if (machine == null && allowance.tasksByZone == null) unplaceableClasses += placementClass
+        return machine
+    }
+
+    private fun recordWaiting(job: Job, allowance: ZoneAllowance) {
+        if (job.waitingTasks == 0) return
+        val permitted = minOf(job.waitingTasks, quota.remainingTasks(job.spec))
+        if (permitted == 0) return waitReasons.record(job, WaitReason.QUOTA, job.waitingTasks)
+        val remaining = permitted - preemptor.makeRoom(job, allowance, permitted, round)
+        if (remaining == 0) return waitReasons.record(job, WaitReason.ROOM_BEING_MADE, permitted)
+        recordUnplaced(job, allowance, remaining)
+    }
+
+    private fun recordUnplaced(job: Job, allowance: ZoneAllowance, tasks: Int) {
+        unplaced += UnplacedTasks(job.spec, tasks)
+        waitReasons.record(job, reasonFor(job, allowance), tasks)
+    }
+
+    private fun reasonFor(job: Job, allowance: ZoneAllowance): WaitReason {
+        val placementClass = job.spec.placementClass
+        if (allowance.tasksByZone != null && round.hasRoom(placementClass)) return WaitReason.ZONE
+        val hasOffer = rentableOffers.offersFor(placementClass, context.now.monotonicMs).any { it.zone in allowance }
+        return if (hasOffer) WaitReason.NO_ROOM else WaitReason.OFFER_REFUSED
+    }
+
+    /** The tasks of a gang are started together, so none may have a live attempt, and the team's limit has to allow all of them. */
+    private fun mayStartGang(job: Job) = job.liveAttempts.isEmpty() && quota.remainingTasks(job.spec) >= job.waitingTasks
+
+    /** Starts all tasks of a gang together; returns false if they can't all be placed. */
+    private fun placeGang(job: Job, allowance: ZoneAllowance): Boolean {
+        if (!mayStartGang(job)) return false
+        val machines = round.chooseGangMachines(job, allowance) ?: return false
+        // The tasks of a gang discover each other by attempt number, so all share one number.
+        val number = job.lastAttemptNumber + 1
+        decisionLog.reserveSpaceFor(machines.mapIndexed { index, machine -> Event.AttemptStarted(job.id, index, number, machine.id) })
+        for (machine in machines) start(job, job.nextWaitingTask() ?: break, machine, number)
+        return true
+    }
+
+    private fun start(job: Job, index: Int, machine: Machine, number: Long = job.lastAttemptNumber + 1) {
+        val recordIndex = context.append(Event.AttemptStarted(job.id, index, number, machine.id))
+        machine.recordUse(context.now.monotonicMs)
+        dispatcher.pushOnceCommitted(recordIndex, machine.id)
+        context.logEvent(LogLevel.DEBUG) {
+            "event=attempt_started attempt=${job.id}/$index#${job.lastAttemptNumber} machine=${machine.id} record=${recordIndex.number}"
+        }
+    }
+}
--- a/src/main/kotlin/cleathitch/scheduler/Scheduler.kt
+++ b/src/main/kotlin/cleathitch/scheduler/Scheduler.kt
@@ -3,6 +3,7 @@
 import cleathitch.scheduler.api.Effect
 import cleathitch.scheduler.api.Input
 import cleathitch.scheduler.api.LogLevel
+import cleathitch.scheduler.api.PlacementStatistics
 import cleathitch.scheduler.api.SchedulerContext
 import cleathitch.scheduler.api.SchedulerTimings
 import cleathitch.scheduler.api.UserReply
@@ -135,6 +136,9 @@
     /** Number of (placement class, machine) pairs evaluated in all rounds so far; measures the cost of scheduling. */
     val candidatesEvaluated: Long get() = schedulingRound.candidatesEvaluated
 
+    /** What the scheduling rounds of this term have done so far. */
+    val placementStatistics: PlacementStatistics get() = schedulingRound.statistics
+
     /** Processes [batch] as of time [now] and returns the effects to execute, in order. */
     fun handle(batch: List<Input>, now: ClockReading): List<Effect> {
         this.now = now
--- a/src/main/kotlin/cleathitch/scheduler/capacity/CapacityPlanner.kt
+++ b/src/main/kotlin/cleathitch/scheduler/capacity/CapacityPlanner.kt
@@ -2,6 +2,7 @@
 
 import cleathitch.scheduler.machines.Inventory
 import cleathitch.scheduler.machines.MachineState
+import cleathitch.scheduler.machines.RentableOffers
 import cleathitch.scheduler.model.Deployment
 import cleathitch.scheduler.model.MachineType
 import cleathitch.scheduler.model.Offer
@@ -14,6 +15,8 @@
  * remaining tasks, the cheapest offers are rented. Keeps no state between calls. Confined to the leader's event loop.
  */
 class CapacityPlanner(private val deployment: Deployment, private val inventory: Inventory) {
+    private val rentableOffers = RentableOffers(inventory)
+
     /** Plans the rentals for [demands], in the given order, with at most [maxCalls] rental calls. */
     fun plan(demands: List<MachineDemand>, nowMs: Long, maxCalls: Int): List<PlannedRental> {
         val capacities = pendingCapacity()
@@ -88,11 +91,8 @@
     /** The permitted offer with the lowest cost per task, or null if none can be rented now. */
     private fun cheapestOffer(demand: MachineDemand, tasks: Int, nowMs: Long, plan: RentalPlan, spotOnly: Boolean): Offer? {
         val placementClass = demand.placementClass
-        return inventory.types.values.asSequence()
-            .filter { it.fits(placementClass) }
-            .flatMap(::offersOf)
-            .filter { placementClass.permits(it) && (it.spot || !spotOnly) && it.zone !in inventory.partitionedZones }
-            .filter { !inventory.isRefused(it, nowMs) && plan.remainingMachines(it) > 0 }
+        return rentableOffers.offersFor(placementClass, nowMs)
+            .filter { (it.spot || !spotOnly) && plan.remainingMachines(it) > 0 }
             .minByOrNull { offer ->
                 val type = inventory.types.getValue(offer.type)
                 val usedTasks = min(tasks, placementClass.fittingTasks(type))
@@ -100,10 +100,6 @@
             }
     }
 
-    private fun offersOf(type: MachineType): Sequence<Offer> = type.zones.asSequence().flatMap { zone ->
-        sequenceOf(Offer(type.name, zone, spot = true), Offer(type.name, zone, spot = false))
-    }
-
     /** The price per task, with the boot time amortized over the expected lifetime of the machine. */
     private fun costPerTask(type: MachineType, spot: Boolean, tasks: Int): Double =
         type.priceOf(spot) / tasks * (1 + type.bootS / (deployment.workerLeaseS * EXPECTED_LIFETIME_IN_LEASES))
--- a/src/main/kotlin/cleathitch/scheduler/placement/GangPlacement.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/GangPlacement.kt
@@ -3,12 +3,12 @@
 import cleathitch.scheduler.jobs.Job
 
 /** Gang scheduling: places all waiting tasks of a job at once, or none of them. */
-internal class GangPlacement(private val job: Job, private val allowedZones: AllowedZones) {
+internal class GangPlacement(private val job: Job, private val allowance: ZoneAllowance) {
     private val placementClass = job.spec.placementClass
 
     /** Chooses a machine for each waiting task and reserves its resources; null if not all tasks can be placed. */
     fun reserve(candidates: List<CandidateMachine>): List<CandidateMachine>? {
-        val eligible = candidates.filter { it.zone in allowedZones && placementClass.permits(it.machine.offer) }
+        val eligible = candidates.filter { it.zone in allowance && placementClass.permits(it.machine.offer) }
             .sortedBy { placementCost(placementClass, it) }
         val groups = if (job.spec.oneZone) eligible.groupBy { it.zone }.values else listOf(eligible)
         val chosen = groups.firstNotNullOfOrNull(::selectMachines) ?: return null
--- a/src/main/kotlin/cleathitch/scheduler/placement/PlacementRound.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/PlacementRound.kt
@@ -2,7 +2,6 @@
 
 import cleathitch.scheduler.jobs.Job
 import cleathitch.scheduler.jobs.JobTable
-import cleathitch.scheduler.machines.Inventory
 import cleathitch.scheduler.machines.Machine
 import cleathitch.scheduler.model.PlacementClass
 import cleathitch.scheduler.model.RESOURCE_TOLERANCE
@@ -15,7 +14,6 @@
  * that fits nowhere costs a single ranking. This makes it affordable to rank all machines rather than a sample.
  */
 class PlacementRound(
-    private val inventory: Inventory,
     private val jobTable: JobTable,
     private val usableMachines: List<Machine>,
     private val nowMs: Long,
@@ -31,12 +29,11 @@
         private set
 
     /** Chooses the machine with the lowest placement cost for the job's next task and reserves its resources; null if none fits. */
-    fun chooseMachine(job: Job): Machine? {
+    fun chooseMachine(job: Job, allowance: ZoneAllowance): Machine? {
         val placementClass = job.spec.placementClass
-        val allowedZones = AllowedZones.of(job, inventory)
         var cheapest: RankedMachines? = null
         for ((zone, ranked) in rankings.getOrPut(placementClass) { rankByZone(placementClass) }) {
-            if (zone !in allowedZones) continue
+            if (zone !in allowance) continue
             ranked.skipFull(placementClass)
             if (ranked.first != null && (cheapest == null || ranked.firstCost < cheapest.firstCost)) cheapest = ranked
         }
@@ -53,15 +50,21 @@
     }
 
     /** Chooses a machine for each waiting task of a gang and reserves its resources; null if not all tasks can be placed. */
-    fun chooseGangMachines(job: Job): List<Machine>? =
-        GangPlacement(job, AllowedZones.of(job, inventory)).reserve(candidates)?.map { it.machine }
+    fun chooseGangMachines(job: Job, allowance: ZoneAllowance): List<Machine>? =
+        GangPlacement(job, allowance).reserve(candidates)?.map { it.machine }
+
+    /** Whether a machine in any zone has room for a task of the class. */
+    fun hasRoom(placementClass: PlacementClass): Boolean = rankings.getOrPut(placementClass) { rankByZone(placementClass) }.values.any {
+        it.skipFull(placementClass)
+        it.first != null
+    }
 
     /** Selects the tasks to preempt so that up to [maxTasks] tasks of [job] fit, with the least work lost. */
-    fun planPreemption(job: Job, maxTasks: Int): PreemptionPlan {
+    fun planPreemption(job: Job, allowance: ZoneAllowance, maxTasks: Int): PreemptionPlan {
         val planner = preemptionPlanners.getOrPut(job.spec.placementClass) {
             candidatesEvaluated += usableMachines.size
             PreemptionPlanner(job.spec, usableMachines, jobTable, nowMs)
         }
-        return planner.plan(AllowedZones.of(job, inventory), maxTasks)
+        return planner.plan(allowance, maxTasks)
     }
 }
--- a/src/main/kotlin/cleathitch/scheduler/placement/PreemptionPlanner.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/PreemptionPlanner.kt
@@ -36,11 +36,11 @@
     }
 
     /** Selects victims in the allowed zones so that up to [maxTasks] tasks of the class fit there. */
-    fun plan(allowedZones: AllowedZones, maxTasks: Int): PreemptionPlan {
+    fun plan(allowance: ZoneAllowance, maxTasks: Int): PreemptionPlan {
         val victims = ArrayList<Attempt>()
         var remaining = maxTasks
         while (remaining > 0) {
-            val option = pollBest(allowedZones) ?: break
+            val option = pollBest(allowance) ?: break
             victims += option.victims
             remaining -= assign(option, remaining)
         }
@@ -74,10 +74,10 @@
     }
 
     /** Removes and returns the option with the lowest loss per task among those in the allowed zones. */
-    private fun pollBest(allowedZones: AllowedZones): Option? {
+    private fun pollBest(allowance: ZoneAllowance): Option? {
         val skipped = ArrayList<Option>()
         var option = options.poll()
-        while (option != null && option.machine.offer.zone !in allowedZones) {
+        while (option != null && option.machine.offer.zone !in allowance) {
             skipped += option
             option = options.poll()
         }
--- a/src/test/kotlin/cleathitch/scheduler/placement/PlacementRoundTest.kt
+++ b/src/test/kotlin/cleathitch/scheduler/placement/PlacementRoundTest.kt
@@ -1,5 +1,6 @@
 package cleathitch.scheduler.placement
 
+import cleathitch.scheduler.jobs.Job
 import cleathitch.scheduler.jobs.JobTable
 import cleathitch.scheduler.jobs.StopCause
 import cleathitch.scheduler.log.Event
@@ -59,7 +60,11 @@
         jobTable.apply(event, lastRecord)
     }
 
-    private fun round() = PlacementRound(inventory, jobTable, inventory.machines.values.toList(), nowMs = 0)
+    private fun allowance(job: Job) = ZoneAllowance.of(job, inventory)
+
+    private fun gangMachines(job: Job, round: PlacementRound = round()) = round.chooseGangMachines(job, allowance(job))
+
+    private fun round() = PlacementRound(jobTable, inventory.machines.values.toList(), nowMs = 0)
 
     @Test
     fun `machines that cache the image are filled first, then others, and no machine is chosen once all are full`() {
@@ -67,7 +72,7 @@
         machine("m-2").recordImage("image", 1.0)
         val job = accept(spec("j-1"))
         val round = round()
-        assertEquals(listOf("m-2", "m-2", "m-1", "m-1", null), List(5) { round.chooseMachine(job)?.id?.text })
+        assertEquals(listOf("m-2", "m-2", "m-1", "m-1", null), List(5) { round.chooseMachine(job, allowance(job))?.id?.text })
     }
 
     @Test
@@ -75,7 +80,7 @@
         repeat(5) { machine("m-$it") }
         val job = accept(spec("j-1"))
         val round = round()
-        repeat(10) { round.chooseMachine(job) }
+        repeat(10) { round.chooseMachine(job, allowance(job)) }
         assertEquals(5L, round.candidatesEvaluated)
     }
 
@@ -83,16 +88,14 @@
     fun `a gang gets machines for all of its tasks or none`() {
         machine("m-1", zone = "a")
         machine("m-2", zone = "b")
-        assertNull(round().chooseGangMachines(accept(spec("j-1", JobKind.GANG, tasks = 5))))
-        assertNull(round().chooseGangMachines(accept(spec("j-2", JobKind.GANG, tasks = 4, oneZone = true))))
+        assertNull(gangMachines(accept(spec("j-1", JobKind.GANG, tasks = 5))))
+        assertNull(gangMachines(accept(spec("j-2", JobKind.GANG, tasks = 4, oneZone = true))))
         val round = round()
         assertEquals(
             listOf("m-1", "m-1", "m-2", "m-2"),
-            round.chooseGangMachines(accept(spec("j-3", JobKind.GANG, tasks = 4)))?.map {
-                it.id.text
-            },
+            gangMachines(accept(spec("j-3", JobKind.GANG, tasks = 4)), round)?.map { it.id.text },
         )
-        assertNull(round.chooseMachine(accept(spec("j-4"))))
+        assertNull(round.chooseMachine(accept(spec("j-4")), ZoneAllowance(null)))
     }
 
     @Test
@@ -101,7 +104,7 @@
         machine("m-2", zone = "b")
         val job = accept(spec("j-1", tasks = 2, cpus = 1.0, spread = true))
         start("j-1", 0, inA)
-        assertEquals("m-2", round().chooseMachine(job)?.id?.text)
+        assertEquals("m-2", round().chooseMachine(job, allowance(job))?.id?.text)
     }
 
     @Test
@@ -113,13 +116,13 @@
         start("j-2", 0, machine)
         val urgent = accept(spec("j-3", priority = Priority.PRODUCTION))
 
-        val plan = round().planPreemption(urgent, maxTasks = 2)
+        val plan = round().planPreemption(urgent, allowance(urgent), maxTasks = 2)
         assertEquals(low.liveAttempts.values.toList(), plan.victims)
         assertEquals(1, plan.tasks)
         assertEquals(null, equal.liveAttempts.getValue(0).stopCause)
 
         plan.victims.forEach { it.requestStop(StopCause.PREEMPTED) }
-        val next = round().planPreemption(urgent, maxTasks = 2)
+        val next = round().planPreemption(urgent, allowance(urgent), maxTasks = 2)
         assertEquals(emptyList<Any>(), next.victims)
         assertEquals(1, next.tasks)
     }
