Keep the room that is made for a job until the job starts there

Cause: what victims leave, and what is free beside them, wasn't reserved. Later jobs of the same round, overdue jobs of the next one, gangs and other preempting jobs took it, and were the next round's victims.

Change: a machine on which room is being made is nominated for its job. The room, and the team's limit, are subtracted before anything else is placed; only that job can use them, until it starts or two report periods and the longest time to write a checkpoint are over. Options are evaluated again when they are used, because plans for other classes change them, and victims that turn out not to be needed are left out.

--- a/src/main/kotlin/cleathitch/leader/PlacementMeters.kt
+++ b/src/main/kotlin/cleathitch/leader/PlacementMeters.kt
@@ -12,6 +12,8 @@
         AtomicInteger().also { meterRegistry.gauge("jobs.waiting", listOf(Tag.of("reason", reason.label)), it) }
     }
     private val preemptions = meterRegistry.counter("tasks.preempted")
+    private val startsInFreedRoom = meterRegistry.counter("tasks.started_in_freed_room")
+    private val wastedPreemptions = meterRegistry.counter("tasks.preempted_in_vain")
     private var recorded = PlacementStatistics()
 
     /** Ends a term; the statistics of the next one count from zero. */
@@ -20,6 +22,8 @@
     /** Records the term's newest statistics. */
     fun record(statistics: PlacementStatistics) {
         preemptions.increment((statistics.preemptions - recorded.preemptions).toDouble())
+        startsInFreedRoom.increment((statistics.startsInFreedRoom - recorded.startsInFreedRoom).toDouble())
+        wastedPreemptions.increment((statistics.wastedPreemptions - recorded.wastedPreemptions).toDouble())
         setGauges(statistics)
     }
 
--- a/src/main/kotlin/cleathitch/scheduler/JobPlacer.kt
+++ b/src/main/kotlin/cleathitch/scheduler/JobPlacer.kt
@@ -32,6 +32,7 @@
     private val round: PlacementRound,
 ) {
     private val rentableOffers = RentableOffers(inventory)
+    private val nominations = preemptor.nominations
     private val unplaceableClasses = HashSet<PlacementClass>()
     private val unplaced = ArrayList<UnplacedTasks>()
 
@@ -40,28 +41,50 @@
 
     /** Starts one waiting task of the job, or the whole gang, if there is room; makes no room and records no demand. */
     fun placeFirst(job: Job) {
-        val allowance = ZoneAllowance.of(job, inventory)
-        if (job.spec.kind == JobKind.GANG) placeGang(job, allowance) else placeTasks(job, allowance, limit = 1)
+        if (job.spec.kind == JobKind.GANG) placeGang(job, ZoneAllowance.of(job, inventory)) else placeTasks(job, limit = 1)
     }
 
     /** Starts the job's waiting tasks; a gang is started all at once or not at all. Makes room or records demand for the others. */
     fun place(job: Job) {
+        if (job.spec.kind != JobKind.GANG) return recordWaiting(job, placeTasks(job))
         val allowance = ZoneAllowance.of(job, inventory)
-        if (job.spec.kind != JobKind.GANG) return recordWaiting(job, placeTasks(job, allowance))
         if (!placeGang(job, allowance) && mayStartGang(job)) recordUnplaced(job, allowance, job.waitingTasks)
     }
 
-    /** Starts up to [limit] waiting tasks; returns what the zones may take after that. */
-    private fun placeTasks(job: Job, allowance: ZoneAllowance, limit: Int = Int.MAX_VALUE): ZoneAllowance {
-        var remaining = allowance
-        repeat(minOf(limit, job.waitingTasks)) {
+    /**
+     * Starts up to [limit] waiting tasks: first those whose room has been made, then those for which none is being made. Returns what
+     * the zones may take after that and after the tasks that wait for their room.
+     */
+    private fun placeTasks(job: Job, limit: Int = Int.MAX_VALUE): ZoneAllowance {
+        val started = placeOnNominatedMachines(job, limit)
+        var allowance = ZoneAllowance.of(job, inventory)
+        nominations.of(job).forEach { allowance = allowance.after(it.machine.offer.zone, it.tasks) }
+        repeat(minOf(limit - started, job.waitingTasks - nominations.taskCount(job))) {
             val index = job.nextWaitingTask()
-            if (index == null || !quota.allows(job.spec)) return remaining
-            val machine = chooseMachine(job, remaining) ?: return remaining
+            if (index == null || !quota.allows(job.spec, reservedQuota(job))) return allowance
+            val machine = chooseMachine(job, allowance) ?: return allowance
             start(job, index, machine)
-            remaining = remaining.after(machine.offer.zone)
+            allowance = allowance.after(machine.offer.zone)
         }
-        return remaining
+        return allowance
+    }
+
+    /** The part of the team's limit that tasks take for which room is being made. */
+    private fun reservedQuota(job: Job) = nominations.usageOfTeam(job.spec.team)
+
+    /** Starts up to [limit] tasks in room that was made for them; returns how many. */
+    private fun placeOnNominatedMachines(job: Job, limit: Int): Int {
+        var started = 0
+        for (nomination in nominations.of(job)) {
+            repeat(minOf(limit - started, nomination.tasks)) {
+                val index = job.nextWaitingTask() ?: return started
+                if (!quota.allows(job.spec) || !round.useNomination(nomination)) return@repeat
+                start(job, index, nomination.machine)
+                preemptor.recordStart(nomination)
+                started++
+            }
+        }
+        return started
     }
 
     private fun chooseMachine(job: Job, allowance: ZoneAllowance): Machine? {
@@ -75,12 +98,16 @@
     }
 
     private fun recordWaiting(job: Job, allowance: ZoneAllowance) {
-        if (job.waitingTasks == 0) return
-        val permitted = minOf(job.waitingTasks, quota.remainingTasks(job.spec))
-        if (permitted == 0) return waitReasons.record(job, WaitReason.QUOTA, job.waitingTasks)
+        val waiting = job.waitingTasks - nominations.taskCount(job)
+        if (waiting == 0) return recordMakingRoom(job)
+        val permitted = minOf(waiting, quota.remainingTasks(job.spec, reservedQuota(job)))
+        if (permitted <= 0) return waitReasons.record(job, WaitReason.QUOTA, waiting)
         val remaining = permitted - preemptor.makeRoom(job, allowance, permitted, round)
-        if (remaining == 0) return waitReasons.record(job, WaitReason.ROOM_BEING_MADE, permitted)
-        recordUnplaced(job, allowance, remaining)
+        if (remaining == 0) recordMakingRoom(job) else recordUnplaced(job, allowance, remaining)
+    }
+
+    private fun recordMakingRoom(job: Job) {
+        if (job.waitingTasks > 0) waitReasons.record(job, WaitReason.ROOM_BEING_MADE, job.waitingTasks)
     }
 
     private fun recordUnplaced(job: Job, allowance: ZoneAllowance, tasks: Int) {
@@ -96,7 +123,7 @@
     }
 
     /** The tasks of a gang are started together, so none may have a live attempt, and the team's limit has to allow all of them. */
-    private fun mayStartGang(job: Job) = job.liveAttempts.isEmpty() && quota.remainingTasks(job.spec) >= job.waitingTasks
+    private fun mayStartGang(job: Job) = job.liveAttempts.isEmpty() && quota.remainingTasks(job.spec, reservedQuota(job)) >= job.waitingTasks
 
     /** Starts all tasks of a gang together; returns false if they can't all be placed. */
     private fun placeGang(job: Job, allowance: ZoneAllowance): Boolean {
--- a/src/main/kotlin/cleathitch/scheduler/SchedulingRound.kt
+++ b/src/main/kotlin/cleathitch/scheduler/SchedulingRound.kt
@@ -40,11 +40,16 @@
     private val completionObjectives = deployment.objectives.filterIsInstance<Objective.Completion>().sortedBy { it.deadlineS }
         .groupBy({ it.className }, { it.deadlineS })
     private val waitReasons = WaitReasonLog(context)
-    private val preemptor = Preemptor(context, inventory, dispatcher)
+    private val preemptor = Preemptor(context, timings, inventory, quota, dispatcher)
     private var lastRoundMs = 0L
 
     /** What the rounds have done so far. */
-    val statistics get() = PlacementStatistics(waitReasons.jobsByReason, preemptor.preemptions)
+    val statistics get() = PlacementStatistics(
+        waitReasons.jobsByReason,
+        preemptor.preemptions,
+        preemptor.startsInFreedRoom,
+        preemptor.wastedPreemptions,
+    )
 
     /** Demand for new machines by the tasks that the last round couldn't place. */
     var demands: List<MachineDemand> = emptyList()
@@ -67,12 +72,15 @@
         }
         lastRoundMs = context.now.monotonicMs
         val waiting = jobTable.jobs.filter { it.waitingTasks > 0 && it.retryNotBeforeMs <= context.now.monotonicMs }
+        if (waiting.isEmpty()) preemptor.dropUnusableNominations(waiting, emptyList())
         if (waiting.isEmpty()) demands = emptyList() else run(waiting)
         waitReasons.endRound()
     }
 
     private fun run(waiting: List<Job>) {
-        val round = PlacementRound(jobTable, inventory.machines.values.filter(::isUsable), context.now.monotonicMs)
+        val machines = inventory.machines.values.filter(::isUsable)
+        preemptor.dropUnusableNominations(waiting, machines)
+        val round = PlacementRound(jobTable, machines, context.now.monotonicMs, preemptor.nominations)
         val placer = JobPlacer(context, inventory, quota, decisionLog, dispatcher, waitReasons, preemptor, round)
         val jobs = SchedulingOrder(completionObjectives, quota, context.now.wallMs).order(waiting)
         // Overdue jobs come first, with one task each or the whole gang, so that every job starts in time however long the queue is.
--- a/src/main/kotlin/cleathitch/scheduler/api/PlacementStatistics.kt
+++ b/src/main/kotlin/cleathitch/scheduler/api/PlacementStatistics.kt
@@ -6,4 +6,8 @@
     val waitingJobs: Map<WaitReason, Int> = emptyMap(),
     /** Tasks stopped to make room for others. */
     val preemptions: Long = 0,
+    /** Tasks started in room that was made for them. */
+    val startsInFreedRoom: Long = 0,
+    /** Tasks stopped for room that wasn't used. */
+    val wastedPreemptions: Long = 0,
 )
--- a/src/main/kotlin/cleathitch/scheduler/jobs/JobTable.kt
+++ b/src/main/kotlin/cleathitch/scheduler/jobs/JobTable.kt
@@ -126,8 +126,8 @@
         check(attempt.id.task.index !in job.liveAttempts) { "can't add attempt ${attempt.id}: the task already has a live attempt" }
         job.recordStart(attempt)
         attemptsByMachine.getOrPut(attempt.machine) { LinkedHashMap() }[attempt.id] = attempt
-        usageByMachine.getOrPut(attempt.machine) { ResourceUsage() }.add(job.spec)
-        usageByTeam.getOrPut(job.spec.team) { ResourceUsage() }.add(job.spec)
+        usageByMachine.getOrPut(attempt.machine) { ResourceUsage() }.add(job.spec.placementClass)
+        usageByTeam.getOrPut(job.spec.team) { ResourceUsage() }.add(job.spec.placementClass)
     }
 
     private fun removeAttempt(attempt: Attempt) {
@@ -137,9 +137,9 @@
             if (it.isEmpty()) attemptsByMachine.remove(attempt.machine)
         }
         usageByMachine[attempt.machine]?.let {
-            it.remove(attempt.job.spec)
+            it.remove(attempt.job.spec.placementClass)
             if (it.tasks == 0) usageByMachine.remove(attempt.machine)
         }
-        usageByTeam[attempt.job.spec.team]?.remove(attempt.job.spec)
+        usageByTeam[attempt.job.spec.team]?.remove(attempt.job.spec.placementClass)
     }
 }
--- a/src/main/kotlin/cleathitch/scheduler/jobs/Quota.kt
+++ b/src/main/kotlin/cleathitch/scheduler/jobs/Quota.kt
@@ -10,13 +10,8 @@
  * attempts that may still be running, so the limit holds even while it is unknown whether a task has ended.
  */
 class Quota(private val teams: Map<String, Team>, private val jobTable: JobTable) {
-    /** Whether the team's limit currently allows one more task with the resources of [spec]. */
-    fun allows(spec: JobSpec): Boolean {
-        val team = teams[spec.team] ?: return false
-        val usage = jobTable.usageOfTeam(spec.team)
-        return isWithin((usage?.cpus ?: 0.0) + spec.cpus, team.maxCpus) &&
-            isWithin((usage?.gpus ?: 0.0) + spec.gpus, team.maxGpus)
-    }
+    /** Whether the team's limit allows one more task with the resources of [spec], beside its live attempts and what is [reserved]. */
+    fun allows(spec: JobSpec, reserved: ResourceUsage? = null): Boolean = remainingTasks(spec, reserved) > 0
 
     /**
      * Whether the team's limit would allow the job if the team had no other jobs. A service needs room for all its tasks at once, a job
@@ -36,13 +31,13 @@
             isWithin((usage?.gpus ?: 0.0) + spec.gpus, team.gpus)
     }
 
-    /** How many more tasks with the resources of [spec] the team's limit currently allows. */
-    fun remainingTasks(spec: JobSpec): Int {
+    /** How many more tasks with the resources of [spec] the team's limit allows, beside its live attempts and what is [reserved]. */
+    fun remainingTasks(spec: JobSpec, reserved: ResourceUsage? = null): Int {
         val team = teams[spec.team] ?: return 0
         val usage = jobTable.usageOfTeam(spec.team)
         return minOf(
-            remainingTasks(usage?.cpus ?: 0.0, spec.cpus, team.maxCpus),
-            remainingTasks(usage?.gpus ?: 0.0, spec.gpus, team.maxGpus),
+            remainingTasks((usage?.cpus ?: 0.0) + (reserved?.cpus ?: 0.0), spec.cpus, team.maxCpus),
+            remainingTasks((usage?.gpus ?: 0.0) + (reserved?.gpus ?: 0.0), spec.gpus, team.maxGpus),
         )
     }
 
--- a/src/main/kotlin/cleathitch/scheduler/jobs/ResourceUsage.kt
+++ b/src/main/kotlin/cleathitch/scheduler/jobs/ResourceUsage.kt
@@ -1,8 +1,8 @@
 package cleathitch.scheduler.jobs
 
-import cleathitch.scheduler.model.JobSpec
+import cleathitch.scheduler.model.PlacementClass
 
-/** The total resources held by a set of live attempts. */
+/** The total resources held by a set of tasks. */
 class ResourceUsage {
     var cpus = 0.0
         private set
@@ -13,13 +13,13 @@
     var tasks = 0
         private set
 
-    /** Adds the resources of one task of [spec]. */
-    fun add(spec: JobSpec) = change(spec, 1)
+    /** Adds the resources of one task of the class. */
+    fun add(placementClass: PlacementClass) = change(placementClass, 1)
 
-    /** Subtracts the resources of one task of [spec]. */
-    fun remove(spec: JobSpec) = change(spec, -1)
+    /** Subtracts the resources of one task of the class. */
+    fun remove(placementClass: PlacementClass) = change(placementClass, -1)
 
-    private fun change(spec: JobSpec, sign: Int) {
+    private fun change(placementClass: PlacementClass, sign: Int) {
         tasks += sign
         if (tasks == 0) {
             // Reset exactly; floating-point rounding errors would otherwise accumulate over days.
@@ -27,9 +27,9 @@
             gpus = 0.0
             memoryGb = 0.0
         } else {
-            cpus += sign * spec.cpus
-            gpus += sign * spec.gpus
-            memoryGb += sign * spec.memoryGb
+            cpus += sign * placementClass.cpus
+            gpus += sign * placementClass.gpus
+            memoryGb += sign * placementClass.memoryGb
         }
     }
 }
--- a/src/main/kotlin/cleathitch/scheduler/placement/CandidateMachine.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/CandidateMachine.kt
@@ -8,7 +8,10 @@
 import cleathitch.scheduler.model.PlacementClass
 import cleathitch.scheduler.model.TaskState
 
-/** A machine considered in one scheduling round, with the resources that the round hasn't reserved yet. */
+/**
+ * A machine considered in one scheduling round, with the resources that are neither in use, nor reserved by the round, nor part of
+ * the room that is being made for a job. That room counts in full, so what is free may be negative until the stopping tasks have ended.
+ */
 internal class CandidateMachine(val machine: Machine, type: MachineType, usage: ResourceUsage?, attempts: Collection<Attempt>) {
     var freeCpus = type.cpus - (usage?.cpus ?: 0.0)
         private set
@@ -18,14 +21,17 @@
     /** How many more tasks the machine's heartbeats have room for; they also report tasks that have ended until those are forgotten. */
     private var freeTasks =
         PlacementClass.MAX_TASKS_PER_MACHINE - attempts.size - machine.reportedTasks.count { it.state == TaskState.EXITED }
+
+    /** The room that is being made for jobs. */
+    private val nominated = ResourceUsage()
     val totalCpus = type.cpus
     val zone: String get() = machine.offer.zone
 
     /** Whether a service task runs here. The machine is then kept for the service, so its free resources cost nothing extra. */
-    val runsService = attempts.any { it.job.spec.kind == JobKind.SERVICE }
+    val runsService by lazy(LazyThreadSafetyMode.NONE) { attempts.any { it.job.spec.kind == JobKind.SERVICE } }
 
     /** Images that are being fetched; concurrent fetches share the machine's fetch bandwidth. */
-    val fetchingImages: Set<String> = if (attempts.isEmpty()) emptySet() else missingImages(attempts)
+    val fetchingImages: Set<String> by lazy(LazyThreadSafetyMode.NONE) { missingImages(attempts) }
 
     private fun missingImages(attempts: Collection<Attempt>): Set<String> = attempts
         .filter { it.runningSinceMs == null }
@@ -36,11 +42,35 @@
 
     fun fits(placementClass: PlacementClass): Boolean = fittingTasks(placementClass) > 0
 
-    /** Reserves the resources of one task for the rest of the round. */
-    fun reserve(placementClass: PlacementClass) {
-        freeCpus -= placementClass.cpus
-        freeGpus -= placementClass.gpus
-        freeMemoryGb -= placementClass.memoryGb
-        freeTasks--
+    /** The number of tasks that fit once [removed] have ended. */
+    fun fittingTasksWithout(removed: List<Attempt>, placementClass: PlacementClass): Int = minOf(
+        freeTasks + removed.size,
+        placementClass.fittingTasks(
+            freeCpus + removed.sumOf { it.job.spec.cpus },
+            freeGpus + removed.sumOf { it.job.spec.gpus },
+            freeMemoryGb + removed.sumOf { it.job.spec.memoryGb },
+        ),
+    )
+
+    /** Reserves the resources of [tasks] tasks for the rest of the round. */
+    fun reserve(placementClass: PlacementClass, tasks: Int = 1) {
+        freeCpus -= tasks * placementClass.cpus
+        freeGpus -= tasks * placementClass.gpus
+        freeMemoryGb -= tasks * placementClass.memoryGb
+        freeTasks -= tasks
+    }
+
+    /** Reserves the resources of [tasks] tasks of a job for which room is being made, whether or not they are free yet. */
+    fun nominate(placementClass: PlacementClass, tasks: Int) {
+        reserve(placementClass, tasks)
+        repeat(tasks) { nominated.add(placementClass) }
+    }
+
+    /** Uses the reservation of one task if its resources are free now; returns false if they aren't. */
+    fun useNomination(placementClass: PlacementClass): Boolean {
+        val fitting = placementClass.fittingTasks(freeCpus + nominated.cpus, freeGpus + nominated.gpus, freeMemoryGb + nominated.memoryGb)
+        if (minOf(freeTasks + nominated.tasks, fitting) == 0) return false
+        nominated.remove(placementClass)
+        return true
     }
 }
--- a/src/main/kotlin/cleathitch/scheduler/placement/PlacementRound.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/PlacementRound.kt
@@ -3,24 +3,35 @@
 import cleathitch.scheduler.jobs.Job
 import cleathitch.scheduler.jobs.JobTable
 import cleathitch.scheduler.machines.Machine
+import cleathitch.scheduler.model.MachineId
 import cleathitch.scheduler.model.PlacementClass
 import cleathitch.scheduler.model.RESOURCE_TOLERANCE
 
 /**
  * Placement and preemption in one scheduling round. Works on a snapshot of the fleet taken at the start of the round, less the
- * resources that the round itself has reserved. Confined to the leader's event loop.
+ * resources that the round itself has reserved and the room that is being made for other jobs. Confined to the leader's event loop.
  *
  * Tasks of one placement class are interchangeable, so machines are ranked once per class instead of once per task, and a class
  * that fits nowhere costs a single ranking. This makes it affordable to rank all machines rather than a sample.
  */
-class PlacementRound(
+internal class PlacementRound(
     private val jobTable: JobTable,
-    private val usableMachines: List<Machine>,
+    usableMachines: List<Machine>,
     private val nowMs: Long,
+    private val nominations: Nominations = Nominations(),
 ) {
-    private val candidates = usableMachines.mapNotNull { machine ->
-        machine.type?.let { CandidateMachine(machine, it, jobTable.usageOnMachine(machine.id), jobTable.attemptsOn(machine.id)) }
-    }.filter { it.freeCpus > RESOURCE_TOLERANCE }
+    private val machines = LinkedHashMap<MachineId, CandidateMachine>()
+    private val candidates: List<CandidateMachine>
+
+    init {
+        for (machine in usableMachines) {
+            val type = machine.type ?: continue
+            machines[machine.id] = CandidateMachine(machine, type, jobTable.usageOnMachine(machine.id), jobTable.attemptsOn(machine.id))
+        }
+        nominations.all.forEach { machines[it.machine.id]?.nominate(it.job.spec.placementClass, it.tasks) }
+        candidates = machines.values.filter { it.freeCpus > RESOURCE_TOLERANCE }
+    }
+
     private val rankings = HashMap<PlacementClass, Map<String, RankedMachines>>()
     private val preemptionPlanners = HashMap<PlacementClass, PreemptionPlanner>()
 
@@ -59,11 +70,15 @@
         it.first != null
     }
 
-    /** Selects the tasks to preempt so that up to [maxTasks] tasks of [job] fit, with the least work lost. */
+    /** Uses the room that was made for one task; returns false if it isn't free yet. */
+    fun useNomination(nomination: Nomination): Boolean =
+        machines[nomination.machine.id]?.useNomination(nomination.job.spec.placementClass) ?: false
+
+    /** Selects the tasks to preempt so that up to [maxTasks] tasks of [job] fit, with the least work lost, and reserves that room. */
     fun planPreemption(job: Job, allowance: ZoneAllowance, maxTasks: Int): PreemptionPlan {
         val planner = preemptionPlanners.getOrPut(job.spec.placementClass) {
-            candidatesEvaluated += usableMachines.size
-            PreemptionPlanner(job.spec, usableMachines, jobTable, nowMs)
+            candidatesEvaluated += machines.size
+            PreemptionPlanner(job.spec, machines.values.filterNot { nominations.isExcluded(it.machine) }, jobTable, nowMs)
         }
         return planner.plan(allowance, maxTasks)
     }
--- a/src/main/kotlin/cleathitch/scheduler/placement/PreemptionPlan.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/PreemptionPlan.kt
@@ -1,11 +1,23 @@
 package cleathitch.scheduler.placement
 
 import cleathitch.scheduler.jobs.Attempt
+import cleathitch.scheduler.machines.Machine
+
+/** The room to be made for a job, machine by machine. */
+class PreemptionPlan(val assignments: List<Assignment>) {
+    /** Room for [tasks] tasks on a machine, once [victims] and the attempts that are already stopping there have ended. */
+    class Assignment(
+        val machine: Machine,
+        val tasks: Int,
+        /** The attempts to stop. */
+        val victims: List<Attempt>,
+        /** The longest time that one of the attempts to be waited for needs to write a checkpoint, in seconds. */
+        val checkpointWriteS: Double,
+    )
 
-/** The tasks to preempt for a job of higher priority. */
-class PreemptionPlan(
     /** The attempts to stop. */
-    val victims: List<Attempt>,
-    /** The number of the job's tasks that fit once [victims] and the attempts that are already stopping have ended. */
-    val tasks: Int,
-)
+    val victims: List<Attempt> get() = assignments.flatMap { it.victims }
+
+    /** The number of the job's tasks that fit once all of the attempts have ended. */
+    val tasks: Int get() = assignments.sumOf { it.tasks }
+}
--- a/src/main/kotlin/cleathitch/scheduler/placement/PreemptionPlanner.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/PreemptionPlanner.kt
@@ -2,7 +2,6 @@
 
 import cleathitch.scheduler.jobs.Attempt
 import cleathitch.scheduler.jobs.JobTable
-import cleathitch.scheduler.machines.Machine
 import cleathitch.scheduler.model.JobSpec
 import cleathitch.scheduler.model.MS_PER_S
 import java.util.PriorityQueue
@@ -13,14 +12,14 @@
  */
 internal class PreemptionPlanner(
     private val spec: JobSpec,
-    machines: List<Machine>,
+    candidates: List<CandidateMachine>,
     private val jobTable: JobTable,
     private val nowMs: Long,
 ) {
-    /** A machine on which [tasks] more tasks fit once [removed] have ended. Of these, [victims] still have to be stopped. */
+    /** A machine on which [tasks] more tasks fit once [stopping] and [victims] have ended; only [victims] still have to be stopped. */
     private class Option(
-        val machine: Machine,
-        val removed: List<Attempt>,
+        val candidate: CandidateMachine,
+        val stopping: List<Attempt>,
         val victims: List<Attempt>,
         val tasks: Int,
         val lossPerTask: Double,
@@ -30,86 +29,82 @@
     private val options = PriorityQueue<Option>(compareBy { it.lossPerTask })
 
     init {
-        for (machine in machines) {
-            if (placementClass.permits(machine.offer)) addOption(machine)
+        for (candidate in candidates) {
+            if (placementClass.permits(candidate.machine.offer)) optionOn(candidate)?.let { options += it }
         }
     }
 
-    /** Selects victims in the allowed zones so that up to [maxTasks] tasks of the class fit there. */
+    /** Selects victims where [allowance] permits, so that up to [maxTasks] tasks of the class fit, and reserves the room for them. */
     fun plan(allowance: ZoneAllowance, maxTasks: Int): PreemptionPlan {
-        val victims = ArrayList<Attempt>()
+        val assignments = ArrayList<PreemptionPlan.Assignment>()
+        var remainingAllowance = allowance
         var remaining = maxTasks
         while (remaining > 0) {
-            val option = pollBest(allowance) ?: break
-            victims += option.victims
-            remaining -= assign(option, remaining)
+            val option = pollBest(remainingAllowance) ?: break
+            val zone = option.candidate.zone
+            val tasks = minOf(remaining, option.tasks, remainingAllowance.remaining(zone))
+            option.candidate.nominate(placementClass, tasks)
+            assignments += assignment(option, tasks)
+            remaining -= tasks
+            remainingAllowance = remainingAllowance.after(zone, tasks)
         }
-        return PreemptionPlan(victims, maxTasks - remaining)
+        return PreemptionPlan(assignments)
     }
 
-    private fun addOption(machine: Machine) {
-        val attempts = jobTable.attemptsOn(machine.id)
-        val stopping = attempts.filter { it.stopCause != null }
-        val tasksAfterStops = fittingTasksWithout(stopping, machine)
-        if (tasksAfterStops > 0) {
-            options += Option(machine, stopping, emptyList(), tasksAfterStops, 0.0)
-            return
-        }
-        val preemptible = attempts.filter { it.stopCause == null && it.job.spec.priority > spec.priority }
-        addCheapestPreemption(machine, stopping, preemptible)
+    private fun assignment(option: Option, tasks: Int): PreemptionPlan.Assignment {
+        val checkpointWriteS = (option.stopping + option.victims).maxOfOrNull { it.job.spec.checkpointWriteS } ?: 0.0
+        return PreemptionPlan.Assignment(option.candidate.machine, tasks, option.victims, checkpointWriteS)
+    }
+
+    /** The option on the machine with the least work lost, as of now; null if there is none. */
+    private fun optionOn(candidate: CandidateMachine): Option? {
+        val (stopping, running) = jobTable.attemptsOn(candidate.machine.id).partition { it.stopCause != null }
+        val tasksAfterStops = candidate.fittingTasksWithout(stopping, placementClass)
+        if (tasksAfterStops > 0) return Option(candidate, stopping, emptyList(), tasksAfterStops, 0.0)
+        val victims = cheapestVictims(candidate, stopping, running.filter { it.job.spec.priority > spec.priority })
+        if (victims.isEmpty()) return null
+        val tasks = candidate.fittingTasksWithout(stopping + victims, placementClass)
+        val fetchCpuS = fetchS(candidate) * placementClass.cpus
+        return Option(candidate, stopping, victims, tasks, (fetchCpuS + victims.sumOf(::lostCpuS)) / tasks)
     }
 
-    /** Adds an option that preempts tasks in ascending order of lost work until at least one task of the class fits. */
-    private fun addCheapestPreemption(machine: Machine, stopping: List<Attempt>, preemptible: List<Attempt>) {
+    /** Adds victims in ascending order of lost work until a task fits, then leaves out those that aren't needed; empty if none fits. */
+    private fun cheapestVictims(candidate: CandidateMachine, stopping: List<Attempt>, preemptible: List<Attempt>): List<Attempt> {
+        fun fits(victims: List<Attempt>) = candidate.fittingTasksWithout(stopping + victims, placementClass) > 0
+        if (preemptible.isEmpty() || !fits(preemptible)) return emptyList()
         val victims = ArrayList<Attempt>()
         for (attempt in preemptible.sortedBy(::lostCpuS)) {
             victims += attempt
-            val tasks = fittingTasksWithout(stopping + victims, machine)
-            if (tasks == 0) continue
-            val fetchCpuS = fetchS(machine) * placementClass.cpus
-            val lossPerTask = (fetchCpuS + victims.sumOf(::lostCpuS)) / tasks
-            options += Option(machine, stopping + victims, victims, tasks, lossPerTask)
-            return
+            if (fits(victims)) break
         }
-    }
-
-    /** Removes and returns the option with the lowest loss per task among those in the allowed zones. */
-    private fun pollBest(allowance: ZoneAllowance): Option? {
-        val skipped = ArrayList<Option>()
-        var option = options.poll()
-        while (option != null && option.machine.offer.zone !in allowance) {
-            skipped += option
-            option = options.poll()
+        for (attempt in victims.dropLast(1).asReversed()) {
+            if (fits(victims - attempt)) victims -= attempt
         }
-        options += skipped
-        return option
+        return victims
     }
 
     /**
-     * Assigns up to [maxTasks] tasks to the option and returns how many were assigned. The remaining capacity goes back to the
-     * queue as an option without loss, because its victims are already in the plan.
+     * Removes and returns the option with the lowest loss per task among those in the allowed zones. Plans for other classes may have
+     * changed what is left on a machine, so each option is evaluated again before it is returned.
      */
-    private fun assign(option: Option, maxTasks: Int): Int {
-        val used = minOf(maxTasks, option.tasks)
-        if (used < option.tasks) {
-            options += Option(option.machine, option.removed, emptyList(), option.tasks - used, 0.0)
+    private fun pollBest(allowance: ZoneAllowance): Option? {
+        val skipped = ArrayList<Option>()
+        var best: Option? = null
+        while (best == null) {
+            val option = options.poll() ?: break
+            if (option.candidate.zone !in allowance) {
+                skipped += option
+                continue
+            }
+            val current = optionOn(option.candidate) ?: continue
+            if (current.lossPerTask <= option.lossPerTask) best = current else options += current
         }
-        return used
-    }
-
-    /** The number of tasks of the class that fit on the machine once [removed] have ended. */
-    private fun fittingTasksWithout(removed: List<Attempt>, machine: Machine): Int {
-        val type = machine.type ?: return 0
-        val usage = jobTable.usageOnMachine(machine.id)
-        return placementClass.fittingTasks(
-            type.cpus - (usage?.cpus ?: 0.0) + removed.sumOf { it.job.spec.cpus },
-            type.gpus - (usage?.gpus ?: 0.0) + removed.sumOf { it.job.spec.gpus },
-            type.memoryGb - (usage?.memoryGb ?: 0.0) + removed.sumOf { it.job.spec.memoryGb },
-        )
+        options += skipped
+        return best
     }
 
-    private fun fetchS(machine: Machine): Double =
-        if (machine.hasImage(placementClass.image)) 0.0 else spec.imageGb / (machine.type?.fetchGbPerS ?: 1.0)
+    private fun fetchS(candidate: CandidateMachine): Double =
+        if (candidate.machine.hasImage(placementClass.image)) 0.0 else spec.imageGb / (candidate.machine.type?.fetchGbPerS ?: 1.0)
 
     /**
      * The approximate CPU time lost when the attempt is stopped: all the time that it has run or, if the task writes checkpoints, at
