Move a refused zone's share of a demand to another zone

Cause: the demand of spread jobs was split over all zones before offers were looked at, with the remainder in the first zones. A share that its zone refused stayed there.

Change: only zones with pending capacity or an offer that isn't refused get a share, evenly as before. What can't be split evenly goes where capacity is pending, so that the end of a refusal doesn't rent a second machine.

The old test of an even split now states which zones may take the tasks and expects the same rentals.

--- a/src/main/kotlin/cleathitch/scheduler/capacity/CapacityPlanner.kt
+++ b/src/main/kotlin/cleathitch/scheduler/capacity/CapacityPlanner.kt
@@ -4,8 +4,8 @@
 import cleathitch.scheduler.machines.MachineState
 import cleathitch.scheduler.machines.RentableOffers
 import cleathitch.scheduler.model.Deployment
-import cleathitch.scheduler.model.MachineType
 import cleathitch.scheduler.model.Offer
+import cleathitch.scheduler.model.PlacementClass
 import kotlin.math.max
 import kotlin.math.min
 
@@ -22,24 +22,34 @@
         val capacities = pendingCapacity()
         val plan = RentalPlan(maxCalls)
         val unmetBySpot = ArrayList<MachineDemand>()
-        for (demand in demands.flatMap(::splitByZone)) {
+        for (demand in demands) {
             val spotAllowed = demand.placementClass.spotAllowed
-            var remaining = demand.tasks
-            for (capacity in capacities) {
-                if (remaining == 0) break
-                if (demand.placementClass.permits(capacity.offer)) remaining -= capacity.assign(demand, remaining)
+            var unmet = demand
+            for (part in splitByZone(demand, capacities, nowMs, spotOnly = spotAllowed)) {
+                var remaining = part.tasks
+                for (capacity in capacities) {
+                    if (remaining == 0) break
+                    if (part.placementClass.permits(capacity.offer)) remaining -= capacity.assign(part, remaining)
+                }
+                rent(part, remaining, nowMs, plan, spotOnly = spotAllowed) { capacity ->
+                    remaining -= capacity.assign(part, remaining)
+                    capacities += capacity
+                }
+                unmet = unmet.without(part.tasks - remaining, part.placementClass.zone)
             }
-            rent(demand, remaining, nowMs, plan, spotOnly = spotAllowed) { capacity ->
-                remaining -= capacity.assign(demand, remaining)
-                capacities += capacity
-            }
-            if (spotAllowed) unmetBySpot += demand.copy(tasks = min(remaining, demand.urgentTasks))
+            if (spotAllowed) unmetBySpot += unmet.copy(tasks = min(unmet.tasks, demand.urgentTasks))
         }
         // On-demand machines are rented for spot-allowed tasks only if the tasks can't wait and no spot machine is available.
-        for (demand in unmetBySpot) rent(demand, demand.tasks, nowMs, plan, spotOnly = false) {}
+        for (demand in unmetBySpot) {
+            for (part in splitByZone(demand, capacities, nowMs, spotOnly = false)) rent(part, part.tasks, nowMs, plan, spotOnly = false) {}
+        }
         return plan.rentals()
     }
 
+    /** What remains of the demand after [tasks] of its tasks have been assigned to [zone], null for any zone. */
+    private fun MachineDemand.without(tasks: Int, zone: String?) =
+        copy(tasks = this.tasks - tasks, allowance = if (zone == null) allowance else allowance.after(zone, tasks))
+
     /** The capacity of booting machines, then that of unanswered rentals. */
     private fun pendingCapacity(): ArrayList<FreeCapacity> {
         val capacities = inventory.machines.values.filter { it.state == MachineState.STARTING }
@@ -52,19 +62,21 @@
         return capacities
     }
 
-    /** Splits the demand of spread jobs into one demand per zone, because the tasks of such a job need resources in several zones. */
-    private fun splitByZone(demand: MachineDemand): List<MachineDemand> {
+    /**
+     * Splits the demand of jobs with zone constraints into one demand per zone, for the zones that may take its tasks and have pending
+     * capacity or an offer. A zone whose offers are refused gets no share, so that its tasks don't wait while another zone has machines.
+     */
+    private fun splitByZone(demand: MachineDemand, capacities: List<FreeCapacity>, nowMs: Long, spotOnly: Boolean): List<MachineDemand> {
         val placementClass = demand.placementClass
-        val zones = inventory.zones
-        if (!placementClass.spread || placementClass.zone != null || zones.size < 2) return listOf(demand)
-        return zones.mapIndexed { index, zone ->
-            fun share(tasks: Int) = tasks / zones.size + if (index < tasks % zones.size) 1 else 0
-            demand.copy(
-                placementClass = placementClass.copy(zone = zone),
-                tasks = share(demand.tasks),
-                urgentTasks = share(demand.urgentTasks),
-            )
-        }
+        if (demand.allowance.tasksByZone == null || demand.tasks == 0) return listOf(demand)
+        val pending = capacities.filter { placementClass.permits(it.offer) }.groupingBy { it.offer.zone }
+            .fold(0) { tasks, capacity -> tasks + capacity.fittingTasks(placementClass) }
+        val offers = rentableOffers.offersFor(placementClass, nowMs).filter { it.spot || !spotOnly }
+        val lowestCost = offers.groupingBy { it.zone }
+            .fold(Double.MAX_VALUE) { lowest, offer -> min(lowest, costPerTask(offer, demand.tasks, placementClass)) }
+        val zones = inventory.zones.filter { it in lowestCost || it in pending }.map { ZoneSupply(it, pending[it] ?: 0, lowestCost[it]) }
+        return ZoneSplit.split(demand.tasks, zones, demand.allowance)
+            .map { (zone, tasks) -> demand.copy(placementClass = placementClass.copy(zone = zone), tasks = tasks) }
     }
 
     /** Adds machines for [tasks] tasks of the demand to the plan, as far as offers and the call limit allow. */
@@ -93,16 +105,15 @@
         val placementClass = demand.placementClass
         return rentableOffers.offersFor(placementClass, nowMs)
             .filter { (it.spot || !spotOnly) && plan.remainingMachines(it) > 0 }
-            .minByOrNull { offer ->
-                val type = inventory.types.getValue(offer.type)
-                val usedTasks = min(tasks, placementClass.fittingTasks(type))
-                costPerTask(type, offer.spot, usedTasks)
-            }
+            .minByOrNull { costPerTask(it, tasks, placementClass) }
     }
 
-    /** The price per task, with the boot time amortized over the expected lifetime of the machine. */
-    private fun costPerTask(type: MachineType, spot: Boolean, tasks: Int): Double =
-        type.priceOf(spot) / tasks * (1 + type.bootS / (deployment.workerLeaseS * EXPECTED_LIFETIME_IN_LEASES))
+    /** The price per task if up to [tasks] tasks use the machine, with the boot time amortized over its expected lifetime. */
+    private fun costPerTask(offer: Offer, tasks: Int, placementClass: PlacementClass): Double {
+        val type = inventory.types.getValue(offer.type)
+        val usedTasks = min(tasks, placementClass.fittingTasks(type))
+        return type.priceOf(offer.spot) / usedTasks * (1 + type.bootS / (deployment.workerLeaseS * EXPECTED_LIFETIME_IN_LEASES))
+    }
 
     private companion object {
         /** The expected lifetime of a machine, as a multiple of [Deployment.workerLeaseS]; its boot time is amortized over it. */
--- a/src/main/kotlin/cleathitch/scheduler/capacity/DemandForecast.kt
+++ b/src/main/kotlin/cleathitch/scheduler/capacity/DemandForecast.kt
@@ -6,6 +6,7 @@
 import cleathitch.scheduler.model.JobSpec
 import cleathitch.scheduler.model.PlacementClass
 import cleathitch.scheduler.model.RESOURCE_TOLERANCE
+import cleathitch.scheduler.placement.ZoneAllowance
 import kotlin.math.ceil
 
 /**
@@ -39,7 +40,12 @@
             shortage.afterHalfSlack += tasks.count - inHalfSlack / cpus
             shortage.afterSlack += tasks.count - inSlack / cpus
         }
-        return shortages.mapNotNull { (placementClass, shortage) -> shortage.toDemand(placementClass) }
+        return shortages.mapNotNull { (placementClass, shortage) -> shortage.toDemand(placementClass, allowance(placementClass)) }
+    }
+
+    private fun allowance(placementClass: PlacementClass): ZoneAllowance {
+        if (!placementClass.spread || placementClass.zone != null) return ZoneAllowance(null)
+        return ZoneAllowance(inventory.zones.associateWith { Int.MAX_VALUE })
     }
 
     /** The rate at which running array tasks free CPUs, from their estimated run times. */
@@ -79,11 +85,11 @@
             tasks += count
         }
 
-        fun toDemand(placementClass: PlacementClass): MachineDemand? {
+        fun toDemand(placementClass: PlacementClass, allowance: ZoneAllowance): MachineDemand? {
             val wantedTasks = ceil(afterHalfSlack - RESOURCE_TOLERANCE).toInt()
             if (wantedTasks <= 0) return null
             val urgentTasks = ceil(afterSlack - RESOURCE_TOLERANCE).toInt()
-            return MachineDemand(placementClass, wantedTasks, urgentTasks, meanSlackS, meanRunS)
+            return MachineDemand(placementClass, wantedTasks, urgentTasks, meanSlackS, meanRunS, allowance)
         }
     }
 }
--- a/src/main/kotlin/cleathitch/scheduler/capacity/FreeCapacity.kt
+++ b/src/main/kotlin/cleathitch/scheduler/capacity/FreeCapacity.kt
@@ -2,6 +2,7 @@
 
 import cleathitch.scheduler.model.MachineType
 import cleathitch.scheduler.model.Offer
+import cleathitch.scheduler.model.PlacementClass
 import kotlin.math.ceil
 import kotlin.math.min
 
@@ -11,13 +12,16 @@
     private var gpus = type.gpus
     private var memoryGb = type.memoryGb
 
+    /** The number of tasks of the class that fit at the same time. */
+    fun fittingTasks(placementClass: PlacementClass): Int = placementClass.fittingTasks(cpus, gpus, memoryGb)
+
     /** Assigns up to [maxTasks] tasks of the demand, some of which may run one after another; returns how many were assigned. */
     fun assign(demand: MachineDemand, maxTasks: Int): Int {
         val consecutiveTasks = demand.consecutiveTasks(type)
         val placementClass = demand.placementClass
         val concurrentTasks = min(
             ceil(maxTasks / consecutiveTasks).toInt(),
-            placementClass.fittingTasks(cpus, gpus, memoryGb),
+            fittingTasks(placementClass),
         )
         cpus -= concurrentTasks * placementClass.cpus
         gpus -= concurrentTasks * placementClass.gpus
--- a/src/main/kotlin/cleathitch/scheduler/capacity/MachineDemand.kt
+++ b/src/main/kotlin/cleathitch/scheduler/capacity/MachineDemand.kt
@@ -2,6 +2,7 @@
 
 import cleathitch.scheduler.model.MachineType
 import cleathitch.scheduler.model.PlacementClass
+import cleathitch.scheduler.placement.ZoneAllowance
 
 /** Tasks of one placement class that need new machines. */
 data class MachineDemand(
@@ -14,6 +15,8 @@
     val slackS: Double = 0.0,
     /** The run time of one task; 0 if unknown. */
     val runS: Double = 0.0,
+    /** How many of the tasks each zone may take. */
+    val allowance: ZoneAllowance = ZoneAllowance(null),
 ) {
     /** The number of tasks that can run one after another on a new machine of [type] within the slack; at least 1. */
     fun consecutiveTasks(type: MachineType): Double = if (runS <= 0) 1.0 else ((slackS - type.bootS) / runS).coerceAtLeast(1.0)
--- a/src/test/kotlin/cleathitch/scheduler/capacity/CapacityPlannerTest.kt
+++ b/src/test/kotlin/cleathitch/scheduler/capacity/CapacityPlannerTest.kt
@@ -9,6 +9,7 @@
 import cleathitch.scheduler.model.Offer
 import cleathitch.scheduler.model.PlacementClass
 import cleathitch.scheduler.model.Priority
+import cleathitch.scheduler.placement.ZoneAllowance
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 
@@ -31,6 +32,7 @@
         spread: Boolean = false,
         slackS: Double = 0.0,
         runS: Double = 0.0,
+        allowance: ZoneAllowance = ZoneAllowance(if (spread) mapOf("a" to tasks, "b" to tasks) else null),
     ) = MachineDemand(
         PlacementClass(
             team = "red", kind = JobKind.ARRAY, priority = Priority.NORMAL, cpus = 2.0, gpus = 0.0, memoryGb = 2.0,
@@ -40,6 +42,7 @@
         urgentTasks,
         slackS,
         runS,
+        allowance,
     )
 
     private fun plan(vararg demands: MachineDemand, nowMs: Long = 0, maxCalls: Int = 10) = planner.plan(demands.toList(), nowMs, maxCalls)
@@ -70,6 +73,41 @@
         assertEquals(listOf(PlannedRental(offer("a"), 1), PlannedRental(offer("b"), 1)), plan(demand(4, spread = true)))
     }
 
+    /** The shares are (tasks, refused zones, zones that may take how many tasks each) to the tasks rented for by zone. */
+    @Test
+    fun `shares go only to zones that may take the tasks and have offers, and are even where possible`() {
+        val both = mapOf("a" to 4, "b" to 4)
+        assertRentedFor(mapOf("a" to 2, "b" to 2), 4, both)
+        assertRentedFor(mapOf("a" to 1, "b" to 3), 4, mapOf("a" to 1, "b" to 3))
+        assertRentedFor(mapOf("b" to 4), 4, both, refused = "a")
+        assertRentedFor(mapOf("b" to 2), 4, mapOf("a" to 4, "b" to 2), refused = "a")
+        assertRentedFor(mapOf("b" to 1), 1, mapOf("b" to 1))
+        assertRentedFor(emptyMap(), 1, emptyMap())
+        assertRentedFor(mapOf("a" to 4), 4, both, needsSingleZone = true)
+        assertRentedFor(mapOf("b" to 4), 4, both, needsSingleZone = true, refused = "a")
+    }
+
+    private fun assertRentedFor(
+        expected: Map<String, Int>,
+        tasks: Int,
+        allowance: Map<String, Int>,
+        needsSingleZone: Boolean = false,
+        refused: String? = null,
+    ) {
+        val inventory = Inventory(deployment).also { it.updateTypes(listOf(type.copy(cpus = 2.0))) }
+        if (refused != null) inventory.recordRefusal(offer(refused), nowMs = 0)
+        val demand = demand(tasks, allowance = ZoneAllowance(allowance, needsSingleZone))
+        val rentals = CapacityPlanner(deployment, inventory).plan(listOf(demand), nowMs = 0, maxCalls = 10)
+        assertEquals(expected, rentals.associate { it.offer.zone to it.machines })
+    }
+
+    /** Otherwise a machine would be rented for the task in each zone in turn, whenever a refusal ends. */
+    @Test
+    fun `a task that pending capacity can take isn't rented for in a zone that is on offer again`() {
+        inventory.register(MachineId("m-1"), offer("b"), 0)
+        assertEquals(emptyList<PlannedRental>(), plan(demand(1, spread = true)))
+    }
+
     @Test
     fun `partitioned zones and recently refused offers aren't rented`() {
         inventory.recordRefusal(offer("a"), nowMs = 0)
