Rent machines only in zones where the job may run

Cause: demands were made per placement class, which doesn't know where the job's other tasks run. Both cases have this cause: for spread jobs the planner split the demand anew, for oneZone it took the first of equal offers.

Change: the zone allowance of a job goes with its unplaced tasks into the demand. Demands of a class are merged unless different zones may take them, so their number doesn't grow with the jobs.

Result: the two tests of ZoneConstraintsTest for lost tasks failed before (expected zone b, was a) and pass.

--- a/src/main/kotlin/cleathitch/scheduler/JobPlacer.kt
+++ b/src/main/kotlin/cleathitch/scheduler/JobPlacer.kt
@@ -111,7 +111,7 @@
     }
 
     private fun recordUnplaced(job: Job, allowance: ZoneAllowance, tasks: Int) {
-        unplaced += UnplacedTasks(job.spec, tasks)
+        unplaced += UnplacedTasks(job.spec, tasks, allowance)
         waitReasons.record(job, reasonFor(job, allowance), tasks)
     }
 
--- a/src/main/kotlin/cleathitch/scheduler/capacity/DemandForecast.kt
+++ b/src/main/kotlin/cleathitch/scheduler/capacity/DemandForecast.kt
@@ -19,11 +19,14 @@
     /** The completion objectives of each job class, in seconds after submission, in ascending order. */
     private val completionObjectives: Map<String, List<Double>>,
 ) {
-    /** The demands of [unplaced], one per placement class, in the order in which the classes first appear there. */
+    /** Demands of the same class are merged unless different zones may take them, because machines then help one but not the other. */
+    private data class DemandKey(val placementClass: PlacementClass, val zones: Set<String>?)
+
+    /** The demands of [unplaced], one per placement class and set of allowed zones, in the order in which these first appear there. */
     fun demands(unplaced: List<UnplacedTasks>): List<MachineDemand> {
         if (unplaced.isEmpty()) return emptyList()
         val freedCpusPerS = freedCpusPerS()
-        val shortages = LinkedHashMap<PlacementClass, Shortage>()
+        val shortages = LinkedHashMap<DemandKey, Shortage>()
         // Each entry reserves CPUs that running tasks free in time, so that later entries don't count on them too. CPUs that are freed
         // within half of an entry's slack and CPUs that are freed within all of it are counted separately.
         var reservedInHalfSlack = 0.0
@@ -35,17 +38,12 @@
             val inSlack = minOf(tasks.count * cpus, (freedCpusPerS * slackS - reservedInSlack).coerceAtLeast(0.0))
             reservedInHalfSlack += inHalfSlack
             reservedInSlack += inSlack
-            val shortage = shortages.getOrPut(tasks.spec.placementClass) { Shortage() }
-            shortage.add(tasks.count, slackS, tasks.spec.estimatedRunS)
+            val shortage = shortages.getOrPut(DemandKey(tasks.spec.placementClass, tasks.allowance.openZones)) { Shortage() }
+            shortage.add(tasks, slackS)
             shortage.afterHalfSlack += tasks.count - inHalfSlack / cpus
             shortage.afterSlack += tasks.count - inSlack / cpus
         }
-        return shortages.mapNotNull { (placementClass, shortage) -> shortage.toDemand(placementClass, allowance(placementClass)) }
-    }
-
-    private fun allowance(placementClass: PlacementClass): ZoneAllowance {
-        if (!placementClass.spread || placementClass.zone != null) return ZoneAllowance(null)
-        return ZoneAllowance(inventory.zones.associateWith { Int.MAX_VALUE })
+        return shortages.mapNotNull { (key, shortage) -> shortage.toDemand(key.placementClass) }
     }
 
     /** The rate at which running array tasks free CPUs, from their estimated run times. */
@@ -71,6 +69,7 @@
         private var tasks = 0
         private var meanSlackS = 0.0
         private var meanRunS = 0.0
+        private var allowance: ZoneAllowance? = null
 
         /** Tasks that still don't fit after half of their slack; a machine rented later than that may boot too late. */
         var afterHalfSlack = 0.0
@@ -79,17 +78,19 @@
         var afterSlack = 0.0
 
         /** Jobs of a placement class may differ in slack and estimated run time; the demand uses the means over its tasks. */
-        fun add(count: Int, slackS: Double, runS: Double) {
-            meanSlackS += (slackS - meanSlackS) * count / (tasks + count)
-            meanRunS += (runS - meanRunS) * count / (tasks + count)
-            tasks += count
+        fun add(added: UnplacedTasks, slackS: Double) {
+            val total = tasks + added.count
+            meanSlackS += (slackS - meanSlackS) * added.count / total
+            meanRunS += (added.spec.estimatedRunS - meanRunS) * added.count / total
+            tasks = total
+            allowance = allowance?.plus(added.allowance) ?: added.allowance
         }
 
-        fun toDemand(placementClass: PlacementClass, allowance: ZoneAllowance): MachineDemand? {
+        fun toDemand(placementClass: PlacementClass): MachineDemand? {
             val wantedTasks = ceil(afterHalfSlack - RESOURCE_TOLERANCE).toInt()
             if (wantedTasks <= 0) return null
             val urgentTasks = ceil(afterSlack - RESOURCE_TOLERANCE).toInt()
-            return MachineDemand(placementClass, wantedTasks, urgentTasks, meanSlackS, meanRunS, allowance)
+            return MachineDemand(placementClass, wantedTasks, urgentTasks, meanSlackS, meanRunS, allowance ?: ZoneAllowance(null))
         }
     }
 }
--- a/src/main/kotlin/cleathitch/scheduler/placement/ZoneAllowance.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/ZoneAllowance.kt
@@ -26,6 +26,16 @@
         else -> ZoneAllowance(tasksByZone + (zone to remaining(zone) - tasks))
     }
 
+    /** The zones that may take another task, null if all may. */
+    val openZones: Set<String>? get() = tasksByZone?.filterValues { it > 0 }?.keys
+
+    /** The allowance of two jobs together. */
+    operator fun plus(other: ZoneAllowance): ZoneAllowance {
+        if (tasksByZone == null || other.tasksByZone == null) return UNRESTRICTED
+        val zones = tasksByZone.keys + other.tasksByZone.keys
+        return ZoneAllowance(zones.associateWith { remaining(it) + other.remaining(it) }, needsSingleZone || other.needsSingleZone)
+    }
+
     companion object {
         private val UNRESTRICTED = ZoneAllowance(null)
         private val NONE = ZoneAllowance(emptyMap())
