Give borrowed capacity back to a team within its guarantee

Cause: the guarantee decided the order of the queue alone. Only tasks of lower priority were ever stopped, for production jobs.

Change: for tasks within their team's guarantee, tasks of any priority may be stopped that other teams run beyond theirs, counted less each victim, CPUs and GPUs both; not if boots, offers or ending tasks give room within the aim for such work. A gang gets all of its room or nothing is stopped. A production job no longer stops other teams' work within their guarantee.

Why it ends: the team that is stopped keeps its whole guarantee, so what waits is beyond it and can't stop a team within its own.

--- a/src/main/kotlin/cleathitch/scheduler/JobPlacer.kt
+++ b/src/main/kotlin/cleathitch/scheduler/JobPlacer.kt
@@ -48,7 +48,13 @@
     fun place(job: Job) {
         if (job.spec.kind != JobKind.GANG) return recordWaiting(job, placeTasks(job))
         val allowance = ZoneAllowance.of(job, inventory)
-        if (!placeGang(job, allowance) && mayStartGang(job)) recordUnplaced(job, allowance, job.waitingTasks)
+        if (placeGang(job, allowance) || job.liveAttempts.isNotEmpty()) return
+        when {
+            nominations.taskCount(job) > 0 -> recordMakingRoom(job)
+            !mayStartGang(job) -> waitReasons.record(job, WaitReason.QUOTA, job.waitingTasks)
+            preemptor.makeRoom(job, allowance, job.waitingTasks, round) > 0 -> recordMakingRoom(job)
+            else -> recordUnplaced(job, allowance, job.waitingTasks)
+        }
     }
 
     /**
@@ -127,8 +133,13 @@
 
     /** Starts all tasks of a gang together; returns false if they can't all be placed. */
     private fun placeGang(job: Job, allowance: ZoneAllowance): Boolean {
-        if (!mayStartGang(job)) return false
-        val machines = round.chooseGangMachines(job, allowance) ?: return false
+        val nominated = nominations.of(job)
+        val machines = when {
+            nominated.isEmpty() -> if (mayStartGang(job)) round.chooseGangMachines(job, allowance) else null
+            round.useAll(nominated) -> nominated.flatMap { nomination -> List(nomination.tasks) { nomination.machine } }
+            else -> null
+        } ?: return false
+        nominated.forEach { nomination -> repeat(nomination.tasks) { preemptor.recordStart(nomination) } }
         // The tasks of a gang discover each other by attempt number, so all share one number.
         val number = job.lastAttemptNumber + 1
         decisionLog.reserveSpaceFor(machines.mapIndexed { index, machine -> Event.AttemptStarted(job.id, index, number, machine.id) })
--- a/src/main/kotlin/cleathitch/scheduler/Preemptor.kt
+++ b/src/main/kotlin/cleathitch/scheduler/Preemptor.kt
@@ -4,6 +4,7 @@
 import cleathitch.scheduler.api.SchedulerContext
 import cleathitch.scheduler.api.SchedulerTimings
 import cleathitch.scheduler.api.logEvent
+import cleathitch.scheduler.capacity.ReclaimPolicy
 import cleathitch.scheduler.jobs.Job
 import cleathitch.scheduler.jobs.Quota
 import cleathitch.scheduler.jobs.StopCause
@@ -11,6 +12,7 @@
 import cleathitch.scheduler.machines.Inventory
 import cleathitch.scheduler.machines.Machine
 import cleathitch.scheduler.model.JobId
+import cleathitch.scheduler.model.JobKind
 import cleathitch.scheduler.model.MS_PER_S
 import cleathitch.scheduler.model.Priority
 import cleathitch.scheduler.placement.Nomination
@@ -21,7 +23,7 @@
 import cleathitch.scheduler.placement.ZoneAllowance
 
 /**
- * Stops running tasks to make room for jobs of higher priority, and keeps that room for them until they start there. Confined to the
+ * Stops running tasks to make room for jobs of higher priority or within their team's guarantee, and keeps that room for them until they start there. Confined to the
  * leader's event loop.
  */
 internal class Preemptor(
@@ -30,6 +32,7 @@
     private val inventory: Inventory,
     private val quota: Quota,
     private val dispatcher: CommandDispatcher,
+    private val reclaimPolicy: ReclaimPolicy,
 ) {
     /** The room that is being made. */
     val nominations = Nominations()
@@ -64,6 +67,9 @@
                 else -> null.also { nominatedTasks[job.id] = tasks }
             }
         }, ::recordDropped)
+        // A gang needs all of its room.
+        val isIncomplete = { job: Job -> job.spec.kind == JobKind.GANG && nominations.taskCount(job) < job.waitingTasks }
+        nominations.drop(context.now.monotonicMs, { if (isIncomplete(it.job)) NominationEnd.NOT_NEEDED else null }, ::recordDropped)
     }
 
     private fun recordDropped(nomination: Nomination, end: NominationEnd) {
@@ -81,17 +87,39 @@
     }
 
     /**
-     * Preempts lower-priority tasks to make room for up to [count] tasks of a production job. Returns the number of the job's tasks
-     * that will fit once all stopping tasks have ended.
+     * Makes room for up to [count] tasks of the job: for tasks within its team's guarantee from what other teams have borrowed, and for
+     * production jobs from tasks of lower priority. For a gang, room is made for all tasks or none, and only within the guarantee.
+     * Returns the number of the job's tasks that will fit once all stopping tasks have ended.
      */
     fun makeRoom(job: Job, allowance: ZoneAllowance, count: Int, round: PlacementRound): Int {
-        if (job.spec.priority != Priority.PRODUCTION || !context.isFleetObserved()) return 0
-        val plan = round.planPreemption(job, allowance, count)
-        plan.assignments.forEach { carryOut(job, it) }
-        return plan.tasks
+        if (!context.isFleetObserved()) return 0
+        val isGang = job.spec.kind == JobKind.GANG
+        val guaranteed = minOf(count, quota.remainingGuaranteedTasks(job.spec, nominations.usageOfTeam(job.spec.team)))
+        var made = 0
+        var remainingAllowance = allowance
+        if (guaranteed > 0 && (guaranteed == count || !isGang) && reclaimPolicy.isDue(job, allowance, guaranteed, context.now)) {
+            val plan = round.planPreemption(job, allowance, guaranteed, reclaims = true)
+            if (isGang && plan.tasks < count) return 0.also { round.discard(plan, job) }
+            carryOut(job, plan)
+            made = plan.tasks
+            remainingAllowance = plan.remainingAllowance
+        }
+        if (made < count && job.spec.priority == Priority.PRODUCTION && !isGang) {
+            val plan = round.planPreemption(job, remainingAllowance, count - made)
+            carryOut(job, plan)
+            made += plan.tasks
+        }
+        return made
+    }
+
+    /** Stops the plan's victims, and nominates its machines until the stopping tasks must have ended. */
+    private fun carryOut(job: Job, plan: PreemptionPlan) {
+        val checkpointWriteS = plan.assignments.maxOfOrNull { it.checkpointWriteS } ?: return
+        val durationMs = timings.silentAfterMs + (checkpointWriteS * MS_PER_S).toLong()
+        plan.assignments.forEach { carryOut(job, it, durationMs) }
     }
 
-    private fun carryOut(job: Job, assignment: PreemptionPlan.Assignment) {
+    private fun carryOut(job: Job, assignment: PreemptionPlan.Assignment, durationMs: Long) {
         val machine = assignment.machine
         for (victim in assignment.victims) {
             victim.requestStop(StopCause.PREEMPTED)
@@ -100,7 +128,6 @@
                 "event=attempt_preempted attempt=${victim.id} machine=${victim.machine} for_job=${job.id}"
             }
         }
-        val durationMs = timings.silentAfterMs + (assignment.checkpointWriteS * MS_PER_S).toLong()
         nominations.add(Nomination(job, machine, assignment.tasks, assignment.victims.size, context.now.monotonicMs, durationMs))
         context.logEvent(LogLevel.DEBUG) {
             "event=machine_nominated job=${job.id} machine=${machine.id} tasks=${assignment.tasks} victims=${assignment.victims.size}"
--- a/src/main/kotlin/cleathitch/scheduler/SchedulingRound.kt
+++ b/src/main/kotlin/cleathitch/scheduler/SchedulingRound.kt
@@ -5,6 +5,7 @@
 import cleathitch.scheduler.api.SchedulerTimings
 import cleathitch.scheduler.capacity.DemandForecast
 import cleathitch.scheduler.capacity.MachineDemand
+import cleathitch.scheduler.capacity.ReclaimPolicy
 import cleathitch.scheduler.jobs.Job
 import cleathitch.scheduler.jobs.JobTable
 import cleathitch.scheduler.jobs.Quota
@@ -16,6 +17,7 @@
 import cleathitch.scheduler.machines.MachineState
 import cleathitch.scheduler.model.Deployment
 import cleathitch.scheduler.model.Objective
+import cleathitch.scheduler.placement.BorrowedCapacity
 import cleathitch.scheduler.placement.PlacementRound
 import cleathitch.scheduler.placement.SchedulingOrder
 
@@ -27,7 +29,7 @@
 @Suppress("LongParameterList")
 internal class SchedulingRound(
     private val context: SchedulerContext,
-    deployment: Deployment,
+    private val deployment: Deployment,
     private val timings: SchedulerTimings,
     private val jobTable: JobTable,
     private val inventory: Inventory,
@@ -40,7 +42,14 @@
     private val completionObjectives = deployment.objectives.filterIsInstance<Objective.Completion>().sortedBy { it.deadlineS }
         .groupBy({ it.className }, { it.deadlineS })
     private val waitReasons = WaitReasonLog(context)
-    private val preemptor = Preemptor(context, timings, inventory, quota, dispatcher)
+    private val preemptor = Preemptor(
+        context,
+        timings,
+        inventory,
+        quota,
+        dispatcher,
+        ReclaimPolicy(deployment.objectives, inventory, jobTable),
+    )
     private var lastRoundMs = 0L
 
     /** What the rounds have done so far. */
@@ -80,7 +89,8 @@
     private fun run(waiting: List<Job>) {
         val machines = inventory.machines.values.filter(::isUsable)
         preemptor.dropUnusableNominations(waiting, machines)
-        val round = PlacementRound(jobTable, machines, context.now.monotonicMs, preemptor.nominations)
+        val borrowedCapacity = BorrowedCapacity(deployment.teams, jobTable)
+        val round = PlacementRound(jobTable, machines, context.now.monotonicMs, preemptor.nominations, borrowedCapacity)
         val placer = JobPlacer(context, inventory, quota, decisionLog, dispatcher, waitReasons, preemptor, round)
         val jobs = SchedulingOrder(completionObjectives, quota, context.now.wallMs).order(waiting)
         // Overdue jobs come first, with one task each or the whole gang, so that every job starts in time however long the queue is.
--- a/src/main/kotlin/cleathitch/scheduler/capacity/DemandForecast.kt
+++ b/src/main/kotlin/cleathitch/scheduler/capacity/DemandForecast.kt
@@ -25,7 +25,7 @@
     /** The demands of [unplaced], one per placement class and set of allowed zones, in the order in which these first appear there. */
     fun demands(unplaced: List<UnplacedTasks>): List<MachineDemand> {
         if (unplaced.isEmpty()) return emptyList()
-        val freedCpusPerS = freedCpusPerS()
+        val freedCpusPerS = FreedCpus.perS(jobTable)
         val shortages = LinkedHashMap<DemandKey, Shortage>()
         // Each entry reserves CPUs that running tasks free in time, so that later entries don't count on them too. CPUs that are freed
         // within half of an entry's slack and CPUs that are freed within all of it are counted separately.
@@ -46,11 +46,6 @@
         return shortages.mapNotNull { (key, shortage) -> shortage.toDemand(key.placementClass) }
     }
 
-    /** The rate at which running array tasks free CPUs, from their estimated run times. */
-    private fun freedCpusPerS(): Double = jobTable.jobs
-        .filter { it.spec.kind == JobKind.ARRAY && it.spec.estimatedRunS > 0 }
-        .sumOf { it.liveAttempts.size * it.spec.cpus / it.spec.estimatedRunS }
-
     /**
      * How long a task may wait in the queue: the shortest objective of its class that it can meet, less its run time and the time to
      * fetch its image. If it can't meet any, a new machine wouldn't help; it may then wait for the full time of the longest objective.
--- a/src/main/kotlin/cleathitch/scheduler/jobs/Quota.kt
+++ b/src/main/kotlin/cleathitch/scheduler/jobs/Quota.kt
@@ -41,6 +41,17 @@
         )
     }
 
+    /** How many more tasks with the resources of [spec] fit into the team's guarantee, beside its live attempts and what is [reserved]. */
+    fun remainingGuaranteedTasks(spec: JobSpec, reserved: ResourceUsage?): Int {
+        val team = teams[spec.team] ?: return 0
+        if (spec.cpus <= 0 && spec.gpus <= 0) return 0
+        val usage = jobTable.usageOfTeam(spec.team)
+        return minOf(
+            remainingTasks((usage?.cpus ?: 0.0) + (reserved?.cpus ?: 0.0), spec.cpus, team.cpus),
+            remainingTasks((usage?.gpus ?: 0.0) + (reserved?.gpus ?: 0.0), spec.gpus, team.gpus),
+        )
+    }
+
     private fun remainingTasks(used: Double, perTask: Double, limit: Double?): Int {
         if (limit == null || perTask <= 0) return Int.MAX_VALUE
         return ((limit - used + RESOURCE_TOLERANCE) / perTask).toInt().coerceAtLeast(0)
--- a/src/main/kotlin/cleathitch/scheduler/placement/CandidateMachine.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/CandidateMachine.kt
@@ -66,6 +66,15 @@
         repeat(tasks) { nominated.add(placementClass) }
     }
 
+    /** Takes back [nominate]. */
+    fun withdrawNomination(placementClass: PlacementClass, tasks: Int) {
+        reserve(placementClass, -tasks)
+        repeat(tasks) { nominated.remove(placementClass) }
+    }
+
+    /** Takes back [useNomination]. */
+    fun restoreNomination(placementClass: PlacementClass) = nominated.add(placementClass)
+
     /** Uses the reservation of one task if its resources are free now; returns false if they aren't. */
     fun useNomination(placementClass: PlacementClass): Boolean {
         val fitting = placementClass.fittingTasks(freeCpus + nominated.cpus, freeGpus + nominated.gpus, freeMemoryGb + nominated.memoryGb)
--- a/src/main/kotlin/cleathitch/scheduler/placement/PlacementRound.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/PlacementRound.kt
@@ -19,7 +19,10 @@
     usableMachines: List<Machine>,
     private val nowMs: Long,
     private val nominations: Nominations = Nominations(),
+    private val borrowedCapacity: BorrowedCapacity = BorrowedCapacity(emptyMap(), jobTable),
 ) {
+    private data class PlannerKey(val placementClass: PlacementClass, val reclaims: Boolean)
+
     private val machines = LinkedHashMap<MachineId, CandidateMachine>()
     private val candidates: List<CandidateMachine>
 
@@ -33,7 +36,7 @@
     }
 
     private val rankings = HashMap<PlacementClass, Map<String, RankedMachines>>()
-    private val preemptionPlanners = HashMap<PlacementClass, PreemptionPlanner>()
+    private val preemptionPlanners = HashMap<PlannerKey, PreemptionPlanner>()
 
     /** The number of (placement class, machine) pairs evaluated; tests use it to measure how the cost of a round grows. */
     var candidatesEvaluated = 0L
@@ -74,12 +77,38 @@
     fun useNomination(nomination: Nomination): Boolean =
         machines[nomination.machine.id]?.useNomination(nomination.job.spec.placementClass) ?: false
 
-    /** Selects the tasks to preempt so that up to [maxTasks] tasks of [job] fit, with the least work lost, and reserves that room. */
-    fun planPreemption(job: Job, allowance: ZoneAllowance, maxTasks: Int): PreemptionPlan {
-        val planner = preemptionPlanners.getOrPut(job.spec.placementClass) {
+    /** Uses the room that was made for all tasks of a gang; returns false, and uses none, if not all of it is free yet. */
+    fun useAll(gangNominations: List<Nomination>): Boolean {
+        val used = ArrayList<Nomination>()
+        for (nomination in gangNominations.flatMap { nomination -> List(nomination.tasks) { nomination } }) {
+            if (!useNomination(nomination)) {
+                used.forEach { machines.getValue(it.machine.id).restoreNomination(it.job.spec.placementClass) }
+                return false
+            }
+            used += nomination
+        }
+        return true
+    }
+
+    /**
+     * Selects the tasks to preempt so that up to [maxTasks] tasks of [job] fit, with the least work lost, and reserves that room. With
+     * [reclaims], tasks of any priority that other teams run beyond their guarantees are preempted too.
+     */
+    fun planPreemption(job: Job, allowance: ZoneAllowance, maxTasks: Int, reclaims: Boolean = false): PreemptionPlan {
+        val planner = preemptionPlanners.getOrPut(PlannerKey(job.spec.placementClass, reclaims)) {
             candidatesEvaluated += machines.size
-            PreemptionPlanner(job.spec, machines.values.filterNot { nominations.isExcluded(it.machine) }, jobTable, nowMs)
+            val permitted = machines.values.filterNot { nominations.isExcluded(it.machine) }
+            PreemptionPlanner(job.spec, permitted, jobTable, borrowedCapacity, reclaims, nowMs)
         }
         return planner.plan(allowance, maxTasks)
     }
+
+    /** Gives up a plan that isn't carried out. */
+    fun discard(plan: PreemptionPlan, job: Job) {
+        for (assignment in plan.assignments) {
+            machines.getValue(assignment.machine.id).withdrawNomination(job.spec.placementClass, assignment.tasks)
+            borrowedCapacity.withdrawStops(assignment.victims)
+        }
+        preemptionPlanners.clear()
+    }
 }
--- a/src/main/kotlin/cleathitch/scheduler/placement/PreemptionPlan.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/PreemptionPlan.kt
@@ -4,7 +4,11 @@
 import cleathitch.scheduler.machines.Machine
 
 /** The room to be made for a job, machine by machine. */
-class PreemptionPlan(val assignments: List<Assignment>) {
+class PreemptionPlan(
+    val assignments: List<Assignment>,
+    /** What the zones may take in addition to the tasks for which room is made. */
+    val remainingAllowance: ZoneAllowance,
+) {
     /** Room for [tasks] tasks on a machine, once [victims] and the attempts that are already stopping there have ended. */
     class Assignment(
         val machine: Machine,
--- a/src/main/kotlin/cleathitch/scheduler/placement/PreemptionPlanner.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/PreemptionPlanner.kt
@@ -4,16 +4,22 @@
 import cleathitch.scheduler.jobs.JobTable
 import cleathitch.scheduler.model.JobSpec
 import cleathitch.scheduler.model.MS_PER_S
+import cleathitch.scheduler.model.Priority
 import java.util.PriorityQueue
 
 /**
  * Selects victims for one placement class in one round, machine by machine, in ascending order of the work lost. The resources of
- * tasks that are already stopping cost nothing and are used first. Only tasks of lower priority are preempted.
+ * tasks that are already stopping cost nothing and are used first.
+ *
+ * A production job may preempt tasks of lower priority, of other teams only as far as these are beyond their guarantees. If [reclaims]
+ * is set, tasks of any priority that other teams run beyond their guarantees are preempted as well.
  */
 internal class PreemptionPlanner(
     private val spec: JobSpec,
     candidates: List<CandidateMachine>,
     private val jobTable: JobTable,
+    private val borrowedCapacity: BorrowedCapacity,
+    private val reclaims: Boolean,
     private val nowMs: Long,
 ) {
     /** A machine on which [tasks] more tasks fit once [stopping] and [victims] have ended; only [victims] still have to be stopped. */
@@ -26,6 +32,9 @@
     )
 
     private val placementClass = spec.placementClass
+
+    /** The least work lost first; among tasks that lose equally much, the one that was started last. */
+    private val victimOrder = compareBy<Attempt>({ lostCpuS(it) }, { nowMs - (it.runningSinceMs ?: nowMs) })
     private val options = PriorityQueue<Option>(compareBy { it.lossPerTask })
 
     init {
@@ -44,11 +53,12 @@
             val zone = option.candidate.zone
             val tasks = minOf(remaining, option.tasks, remainingAllowance.remaining(zone))
             option.candidate.nominate(placementClass, tasks)
+            borrowedCapacity.recordStops(option.victims)
             assignments += assignment(option, tasks)
             remaining -= tasks
             remainingAllowance = remainingAllowance.after(zone, tasks)
         }
-        return PreemptionPlan(assignments)
+        return PreemptionPlan(assignments, remainingAllowance)
     }
 
     private fun assignment(option: Option, tasks: Int): PreemptionPlan.Assignment {
@@ -61,22 +71,33 @@
         val (stopping, running) = jobTable.attemptsOn(candidate.machine.id).partition { it.stopCause != null }
         val tasksAfterStops = candidate.fittingTasksWithout(stopping, placementClass)
         if (tasksAfterStops > 0) return Option(candidate, stopping, emptyList(), tasksAfterStops, 0.0)
-        val victims = cheapestVictims(candidate, stopping, running.filter { it.job.spec.priority > spec.priority })
+        val victims = cheapestVictims(candidate, stopping, running.filter(::isPreemptible))
         if (victims.isEmpty()) return null
         val tasks = candidate.fittingTasksWithout(stopping + victims, placementClass)
         val fetchCpuS = fetchS(candidate) * placementClass.cpus
         return Option(candidate, stopping, victims, tasks, (fetchCpuS + victims.sumOf(::lostCpuS)) / tasks)
     }
 
-    /** Adds victims in ascending order of lost work until a task fits, then leaves out those that aren't needed; empty if none fits. */
+    private fun isPreemptible(attempt: Attempt): Boolean {
+        val hasLowerPriority = spec.priority == Priority.PRODUCTION && attempt.job.spec.priority > spec.priority
+        return hasLowerPriority || (reclaims && attempt.job.spec.team != spec.team)
+    }
+
+    /** Whether the attempt may be stopped in addition to [victims]: of other teams only what they run beyond their guarantees. */
+    private fun mayStop(attempt: Attempt, victims: List<Attempt>) =
+        attempt.job.spec.team == spec.team || borrowedCapacity.includes(attempt, victims)
+
+    /** Adds victims in order until a task fits, then leaves out those that aren't needed; empty if none fits. */
     private fun cheapestVictims(candidate: CandidateMachine, stopping: List<Attempt>, preemptible: List<Attempt>): List<Attempt> {
         fun fits(victims: List<Attempt>) = candidate.fittingTasksWithout(stopping + victims, placementClass) > 0
         if (preemptible.isEmpty() || !fits(preemptible)) return emptyList()
         val victims = ArrayList<Attempt>()
-        for (attempt in preemptible.sortedBy(::lostCpuS)) {
+        for (attempt in preemptible.sortedWith(victimOrder)) {
+            if (!mayStop(attempt, victims)) continue
             victims += attempt
             if (fits(victims)) break
         }
+        if (!fits(victims)) return emptyList()
         for (attempt in victims.dropLast(1).asReversed()) {
             if (fits(victims - attempt)) victims -= attempt
         }
--- a/src/test/kotlin/cleathitch/scheduler/placement/PlacementRoundTest.kt
+++ b/src/test/kotlin/cleathitch/scheduler/placement/PlacementRoundTest.kt
@@ -15,6 +15,7 @@
 import cleathitch.scheduler.model.MachineType
 import cleathitch.scheduler.model.Offer
 import cleathitch.scheduler.model.Priority
+import cleathitch.scheduler.model.Team
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertNull
 import org.junit.jupiter.api.Test
@@ -43,9 +44,11 @@
         oneZone: Boolean = false,
         spread: Boolean = false,
         image: String = "image",
+        team: String = "red",
+        gpus: Double = 0.0,
     ) = JobSpec(
-        id = JobId(name), className = "class", team = "red", kind = kind, priority = priority, tasks = tasks,
-        cpus = cpus, gpus = 0.0, memoryGb = 2.0, image = image, imageGb = 1.0, oneZone = oneZone, spread = spread,
+        id = JobId(name), className = "class", team = team, kind = kind, priority = priority, tasks = tasks,
+        cpus = cpus, gpus = gpus, memoryGb = 2.0, image = image, imageGb = 1.0, oneZone = oneZone, spread = spread,
     )
 
     private fun accept(spec: JobSpec) = run {
@@ -126,4 +129,29 @@
         assertEquals(emptyList<Any>(), next.victims)
         assertEquals(1, next.tasks)
     }
+
+    /** The teams have a guarantee of 4 CPUs and 1 GPU; a task that also uses a guaranteed GPU isn't borrowed. */
+    @Test
+    fun `a guarantee is reclaimed from other teams' work of any priority, but only as far as it is beyond their own guarantee`() {
+        val teams = listOf("red", "blue").associateWith { Team(it, 4.0, null, 1.0, null) }
+        val gpuJob = accept(spec("j-1", team = "blue", gpus = 1.0, cpus = 1.0))
+        val borrower = accept(spec("j-2", team = "blue", priority = Priority.PRODUCTION))
+        start("j-1", 0, machine("m-0"))
+        repeat(3) { start("j-2", it, machine("m-${it / 2 + 1}")) }
+        start("j-3".also { accept(spec(it, cpus = 2.0)) }, 0, inventory.machines.getValue(MachineId("m-2")))
+        start("j-3", 1, inventory.machines.getValue(MachineId("m-0")))
+        val guaranteed = accept(spec("j-4", priority = Priority.LOW))
+        val round = PlacementRound(
+            jobTable,
+            inventory.machines.values.toList(),
+            nowMs = 0,
+            borrowedCapacity = BorrowedCapacity(teams, jobTable),
+        )
+
+        assertEquals(emptyList<Any>(), round.planPreemption(guaranteed, allowance(guaranteed), maxTasks = 3).victims)
+        val victims = round.planPreemption(guaranteed, allowance(guaranteed), maxTasks = 3, reclaims = true).victims
+        assertEquals(listOf(borrower.id), victims.map { it.job.id })
+        assertEquals(emptyList<Any>(), victims.filter { it.job == gpuJob })
+        assertEquals(0, round.planPreemption(guaranteed, allowance(guaranteed), maxTasks = 1, reclaims = true).tasks)
+    }
 }
--- a/src/test/kotlin/cleathitch/scheduler/simulation/PreemptionTest.kt
+++ b/src/test/kotlin/cleathitch/scheduler/simulation/PreemptionTest.kt
@@ -1,7 +1,9 @@
 package cleathitch.scheduler.simulation
 
 import cleathitch.scheduler.model.JobId
+import cleathitch.scheduler.model.JobKind
 import cleathitch.scheduler.model.JobSpec
+import cleathitch.scheduler.model.Objective
 import cleathitch.scheduler.model.Priority
 import cleathitch.scheduler.model.Team
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -13,12 +15,16 @@
 
 /** Simulates clusters with more work than room and without faults, in which jobs preempt the tasks of others. */
 class PreemptionTest {
-    private fun cluster(seed: Long, machines: Int) = SimulatedCluster(
-        seed,
-        FaultSchedule(),
-        SimulatedCluster.defaultDeployment.copy(teams = listOf("red", "blue").associateWith { Team(it, 0.0, null, 0.0, null) }),
-        machines,
-    )
+    private fun cluster(seed: Long, machines: Int, guaranteedCpus: Double = 0.0, objectives: List<Objective> = emptyList()) =
+        SimulatedCluster(
+            seed,
+            FaultSchedule(),
+            SimulatedCluster.defaultDeployment.copy(
+                teams = listOf("red", "blue").associateWith { Team(it, guaranteedCpus, null, 0.0, null) },
+                objectives = SimulatedCluster.defaultDeployment.objectives + objectives,
+            ),
+            machines,
+        )
 
     private fun SimulatedCluster.submitAt(ms: Long, spec: JobSpec) = events.schedule(ms) { users.submit(spec) }
 
@@ -41,7 +47,7 @@
     @TestFactory
     fun `every stopped task makes room in which the job starts that it was stopped for`() = (1L..SEED_COUNT).map { seed ->
         DynamicTest.dynamicTest("seed $seed") {
-            val cluster = cluster(seed, machines = 3)
+            val cluster = cluster(seed, machines = 3, guaranteedCpus = if (seed % 2 == 0L) 4.0 else 0.0)
             val random = Random(seed)
             repeat(JOB_COUNT) { cluster.submitAt(random.nextLong(SUBMISSION_PHASE_MS), randomJob(it, random)) }
             cluster.start()
@@ -54,6 +60,31 @@
         }
     }
 
+    /** Without it, a team within its guarantee waited for as long as others held all machines, and no task was ever stopped for it. */
+    @TestFactory
+    fun `borrowed capacity is given back to a team within its guarantee, once and not below the lender's own`() =
+        listOf(JobKind.SERVICE, JobKind.GANG, JobKind.ARRAY).flatMap { kind ->
+            listOf(emptyList(), listOf(Objective.Guarantee(5.0, 0.9))).map { objectives ->
+                DynamicTest.dynamicTest("$kind, $objectives") { assertReclaimed(kind, objectives) }
+            }
+        }
+
+    private fun assertReclaimed(kind: JobKind, objectives: List<Objective>) {
+        val cluster = cluster(seed = 1, machines = 3, guaranteedCpus = 4.0, objectives)
+        cluster.submitAt(0, SimulatedCluster.jobSpec(1, JobKind.SERVICE, tasks = 5, team = "blue"))
+        cluster.submitAt(1_000, SimulatedCluster.jobSpec(2, JobKind.SERVICE, tasks = 3, team = "blue"))
+        val guaranteed = SimulatedCluster.jobSpec(3, kind, tasks = 2, team = "red").copy(spotAllowed = false)
+        cluster.submitAt(30_000, guaranteed)
+        cluster.start()
+
+        cluster.run(60_000)
+        assertTrue(guaranteed.id in cluster.users.firstStartMs) { cluster.trace.joinToString("\n") }
+        cluster.run(600_000)
+
+        assertStopsLeadToStarts(cluster)
+        assertEquals(2, PreemptionTrace.of(cluster.trace).stops.size)
+    }
+
     private fun urgentJob(number: Int, cpus: Double, tasks: Int = 1) =
         SimulatedCluster.jobSpec(number, tasks = tasks).copy(priority = Priority.PRODUCTION, cpus = cpus, spotAllowed = false)
 
