--- a/src/main/kotlin/cleathitch/scheduler/placement/CandidateMachine.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/CandidateMachine.kt
@@ -42,14 +42,10 @@
 
     fun fits(placementClass: PlacementClass): Boolean = fittingTasks(placementClass) > 0
 
-    /** The number of tasks that fit once [removed] have ended. */
-    fun fittingTasksWithout(removed: List<Attempt>, placementClass: PlacementClass): Int = minOf(
-        freeTasks + removed.size,
-        placementClass.fittingTasks(
-            freeCpus + removed.sumOf { it.job.spec.cpus },
-            freeGpus + removed.sumOf { it.job.spec.gpus },
-            freeMemoryGb + removed.sumOf { it.job.spec.memoryGb },
-        ),
+    /** The number of tasks that fit once tasks with the resources [freed] have ended. */
+    fun fittingTasksAfter(freed: ResourceUsage, placementClass: PlacementClass): Int = minOf(
+        freeTasks + freed.tasks,
+        placementClass.fittingTasks(freeCpus + freed.cpus, freeGpus + freed.gpus, freeMemoryGb + freed.memoryGb),
     )
 
     /** Reserves the resources of [tasks] tasks for the rest of the round. */
@@ -77,8 +73,7 @@
 
     /** Uses the reservation of one task if its resources are free now; returns false if they aren't. */
     fun useNomination(placementClass: PlacementClass): Boolean {
-        val fitting = placementClass.fittingTasks(freeCpus + nominated.cpus, freeGpus + nominated.gpus, freeMemoryGb + nominated.memoryGb)
-        if (minOf(freeTasks + nominated.tasks, fitting) == 0) return false
+        if (fittingTasksAfter(nominated, placementClass) <= 0) return false
         nominated.remove(placementClass)
         return true
     }
--- a/src/main/kotlin/cleathitch/scheduler/placement/PlacementRound.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/PlacementRound.kt
@@ -15,9 +15,9 @@
  * that fits nowhere costs a single ranking. This makes it affordable to rank all machines rather than a sample.
  */
 internal class PlacementRound(
-    private val jobTable: JobTable,
+    jobTable: JobTable,
     usableMachines: List<Machine>,
-    private val nowMs: Long,
+    nowMs: Long,
     private val nominations: Nominations = Nominations(),
     private val borrowedCapacity: BorrowedCapacity = BorrowedCapacity(emptyMap(), jobTable),
 ) {
@@ -35,6 +35,7 @@
         candidates = machines.values.filter { it.freeCpus > RESOURCE_TOLERANCE }
     }
 
+    private val victimOrder = VictimOrder(jobTable, nowMs)
     private val rankings = HashMap<PlacementClass, Map<String, RankedMachines>>()
     private val preemptionPlanners = HashMap<PlannerKey, PreemptionPlanner>()
 
@@ -98,7 +99,7 @@
         val planner = preemptionPlanners.getOrPut(PlannerKey(job.spec.placementClass, reclaims)) {
             candidatesEvaluated += machines.size
             val permitted = machines.values.filterNot { nominations.isExcluded(it.machine) }
-            PreemptionPlanner(job.spec, permitted, jobTable, borrowedCapacity, reclaims, nowMs)
+            PreemptionPlanner(job.spec, permitted, victimOrder, borrowedCapacity, reclaims)
         }
         return planner.plan(allowance, maxTasks)
     }
--- a/src/main/kotlin/cleathitch/scheduler/placement/PreemptionPlanner.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/PreemptionPlanner.kt
@@ -1,9 +1,8 @@
 package cleathitch.scheduler.placement
 
 import cleathitch.scheduler.jobs.Attempt
-import cleathitch.scheduler.jobs.JobTable
+import cleathitch.scheduler.jobs.ResourceUsage
 import cleathitch.scheduler.model.JobSpec
-import cleathitch.scheduler.model.MS_PER_S
 import cleathitch.scheduler.model.Priority
 import java.util.PriorityQueue
 
@@ -17,10 +16,9 @@
 internal class PreemptionPlanner(
     private val spec: JobSpec,
     candidates: List<CandidateMachine>,
-    private val jobTable: JobTable,
+    private val victimOrder: VictimOrder,
     private val borrowedCapacity: BorrowedCapacity,
     private val reclaims: Boolean,
-    private val nowMs: Long,
 ) {
     /** A machine on which [tasks] more tasks fit once [stopping] and [victims] have ended; only [victims] still have to be stopped. */
     private class Option(
@@ -32,9 +30,6 @@
     )
 
     private val placementClass = spec.placementClass
-
-    /** The least work lost first; among tasks that lose equally much, the one that was started last. */
-    private val victimOrder = compareBy<Attempt>({ lostCpuS(it) }, { nowMs - (it.runningSinceMs ?: nowMs) })
     private val options = PriorityQueue<Option>(compareBy { it.lossPerTask })
 
     init {
@@ -68,14 +63,17 @@
 
     /** The option on the machine with the least work lost, as of now; null if there is none. */
     private fun optionOn(candidate: CandidateMachine): Option? {
-        val (stopping, running) = jobTable.attemptsOn(candidate.machine.id).partition { it.stopCause != null }
-        val tasksAfterStops = candidate.fittingTasksWithout(stopping, placementClass)
+        val attempts = victimOrder.of(candidate.machine.id)
+        val stopping = attempts.filter { it.stopCause != null }
+        val freed = ResourceUsage()
+        stopping.forEach { freed.add(it.job.spec.placementClass) }
+        val tasksAfterStops = candidate.fittingTasksAfter(freed, placementClass)
         if (tasksAfterStops > 0) return Option(candidate, stopping, emptyList(), tasksAfterStops, 0.0)
-        val victims = cheapestVictims(candidate, stopping, running.filter(::isPreemptible))
+        val victims = cheapestVictims(candidate, attempts, freed)
         if (victims.isEmpty()) return null
-        val tasks = candidate.fittingTasksWithout(stopping + victims, placementClass)
+        val tasks = candidate.fittingTasksAfter(freed, placementClass)
         val fetchCpuS = fetchS(candidate) * placementClass.cpus
-        return Option(candidate, stopping, victims, tasks, (fetchCpuS + victims.sumOf(::lostCpuS)) / tasks)
+        return Option(candidate, stopping, victims, tasks, (fetchCpuS + victims.sumOf(victimOrder::lostCpuS)) / tasks)
     }
 
     private fun isPreemptible(attempt: Attempt): Boolean {
@@ -87,19 +85,23 @@
     private fun mayStop(attempt: Attempt, victims: List<Attempt>) =
         attempt.job.spec.team == spec.team || borrowedCapacity.includes(attempt, victims)
 
-    /** Adds victims in order until a task fits, then leaves out those that aren't needed; empty if none fits. */
-    private fun cheapestVictims(candidate: CandidateMachine, stopping: List<Attempt>, preemptible: List<Attempt>): List<Attempt> {
-        fun fits(victims: List<Attempt>) = candidate.fittingTasksWithout(stopping + victims, placementClass) > 0
-        if (preemptible.isEmpty() || !fits(preemptible)) return emptyList()
+    /**
+     * Adds victims in order until a task fits, then leaves out those that aren't needed; empty if none fits. Adds the resources of the
+     * victims to [freed].
+     */
+    private fun cheapestVictims(candidate: CandidateMachine, attempts: List<Attempt>, freed: ResourceUsage): List<Attempt> {
+        fun fits() = candidate.fittingTasksAfter(freed, placementClass) > 0
         val victims = ArrayList<Attempt>()
-        for (attempt in preemptible.sortedWith(victimOrder)) {
-            if (!mayStop(attempt, victims)) continue
+        for (attempt in attempts) {
+            if (attempt.stopCause != null || !isPreemptible(attempt) || !mayStop(attempt, victims)) continue
             victims += attempt
-            if (fits(victims)) break
+            freed.add(attempt.job.spec.placementClass)
+            if (fits()) break
         }
-        if (!fits(victims)) return emptyList()
+        if (!fits()) return emptyList()
         for (attempt in victims.dropLast(1).asReversed()) {
-            if (fits(victims - attempt)) victims -= attempt
+            freed.remove(attempt.job.spec.placementClass)
+            if (fits()) victims -= attempt else freed.add(attempt.job.spec.placementClass)
         }
         return victims
     }
@@ -126,14 +128,4 @@
 
     private fun fetchS(candidate: CandidateMachine): Double =
         if (candidate.machine.hasImage(placementClass.image)) 0.0 else spec.imageGb / (candidate.machine.type?.fetchGbPerS ?: 1.0)
-
-    /**
-     * The approximate CPU time lost when the attempt is stopped: all the time that it has run or, if the task writes checkpoints, at
-     * most the time to write one.
-     */
-    private fun lostCpuS(attempt: Attempt): Double {
-        val spec = attempt.job.spec
-        val ranS = attempt.runningSinceMs?.let { (nowMs - it) / MS_PER_S } ?: 0.0
-        return spec.cpus * if (spec.checkpointIntervalS > 0) minOf(ranS, spec.checkpointWriteS) else ranS
-    }
 }
