Start a service in one zone where all of its tasks have room

Cause: the zone of the first task was chosen by the cost of that task.

Change: as long as no task runs, zones come first that have room for all waiting tasks, then those in which machines can be rented.

Result: the new test of ZoneConstraintsTest expects both tasks in the zone with room for both. Further tests: drained machine and cancelled job while room is made, and teams at their limits.

--- a/src/main/kotlin/cleathitch/scheduler/JobPlacer.kt
+++ b/src/main/kotlin/cleathitch/scheduler/JobPlacer.kt
@@ -65,6 +65,7 @@
         val started = placeOnNominatedMachines(job, limit)
         var allowance = ZoneAllowance.of(job, inventory)
         nominations.of(job).forEach { allowance = allowance.after(it.machine.offer.zone, it.tasks) }
+        if (allowance.needsSingleZone) allowance = round.narrowToZones(job, allowance, offeredZones(job))
         repeat(minOf(limit - started, job.waitingTasks - nominations.taskCount(job))) {
             val index = job.nextWaitingTask()
             if (index == null || !quota.allows(job.spec, reservedQuota(job))) return allowance
@@ -82,7 +83,7 @@
     private fun placeOnNominatedMachines(job: Job, limit: Int): Int {
         var started = 0
         for (nomination in nominations.of(job)) {
-            repeat(minOf(limit - started, nomination.tasks)) {
+        repeat(minOf(limit - started, nomination.tasks)) {
                 val index = job.nextWaitingTask() ?: return started
                 if (!quota.allows(job.spec) || !round.useNomination(nomination)) return@repeat
                 start(job, index, nomination.machine)
@@ -124,10 +125,12 @@
     private fun reasonFor(job: Job, allowance: ZoneAllowance): WaitReason {
         val placementClass = job.spec.placementClass
         if (allowance.tasksByZone != null && round.hasRoom(placementClass)) return WaitReason.ZONE
-        val hasOffer = rentableOffers.offersFor(placementClass, context.now.monotonicMs).any { it.zone in allowance }
-        return if (hasOffer) WaitReason.NO_ROOM else WaitReason.OFFER_REFUSED
+        return if (offeredZones(job).any { it in allowance }) WaitReason.NO_ROOM else WaitReason.OFFER_REFUSED
     }
 
+    private fun offeredZones(job: Job): Set<String> =
+        rentableOffers.offersFor(job.spec.placementClass, context.now.monotonicMs).mapTo(HashSet()) { it.zone }
+
     /** The tasks of a gang are started together, so none may have a live attempt, and the team's limit has to allow all of them. */
     private fun mayStartGang(job: Job) = job.liveAttempts.isEmpty() && quota.remainingTasks(job.spec, reservedQuota(job)) >= job.waitingTasks
 
--- a/src/main/kotlin/cleathitch/scheduler/placement/PlacementRound.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/PlacementRound.kt
@@ -57,6 +57,25 @@
         return candidate.machine
     }
 
+    /**
+     * Narrows the allowance of a job that isn't bound to a zone yet but needs a single one: to the zones that have room for all of its
+     * waiting tasks or, if there is none, to those of [offeredZones], where machines can be rented, that have room for one. A zone with
+     * room for a part of the job would otherwise bind it, although the rest might never fit there.
+     */
+    fun narrowToZones(job: Job, allowance: ZoneAllowance, offeredZones: Set<String>): ZoneAllowance {
+        val withRoom = machinesWithRoom(job.spec.placementClass).filterKeys { it in allowance }
+        val holdsAll = withRoom.filterValues { it.fitsAll(job.spec.placementClass, job.waitingTasks) }.keys
+        val zones = holdsAll.ifEmpty { withRoom.keys.intersect(offeredZones) }
+        return if (zones.isEmpty()) allowance else allowance.only(zones)
+    }
+
+    /** The zones in which a machine has room for a task of the class, with the machines in the order in which they are filled. */
+    private fun machinesWithRoom(placementClass: PlacementClass): Map<String, RankedMachines> =
+        rankings.getOrPut(placementClass) { rankByZone(placementClass) }.filterValues {
+            it.skipFull(placementClass)
+            it.first != null
+        }
+
     private fun rankByZone(placementClass: PlacementClass): Map<String, RankedMachines> {
         candidatesEvaluated += candidates.size
         return candidates.filter { placementClass.permits(it.machine.offer) && it.fits(placementClass) }
@@ -69,10 +88,7 @@
         GangPlacement(job, allowance).reserve(candidates)?.map { it.machine }
 
     /** Whether a machine in any zone has room for a task of the class. */
-    fun hasRoom(placementClass: PlacementClass): Boolean = rankings.getOrPut(placementClass) { rankByZone(placementClass) }.values.any {
-        it.skipFull(placementClass)
-        it.first != null
-    }
+    fun hasRoom(placementClass: PlacementClass): Boolean = machinesWithRoom(placementClass).isNotEmpty()
 
     /** Uses the room that was made for one task; returns false if it isn't free yet. */
     fun useNomination(nomination: Nomination): Boolean =
--- a/src/main/kotlin/cleathitch/scheduler/placement/RankedMachines.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/RankedMachines.kt
@@ -15,6 +15,16 @@
         while (next < candidates.size && !candidates[next].fits(placementClass)) next++
     }
 
+    /** Whether [tasks] tasks fit on the machines that the cursor hasn't passed. */
+    fun fitsAll(placementClass: PlacementClass, tasks: Int): Boolean {
+        var fitting = 0
+        for (index in next until candidates.size) {
+            fitting += candidates[index].fittingTasks(placementClass)
+            if (fitting >= tasks) return true
+        }
+        return false
+    }
+
     companion object {
         fun of(candidates: List<CandidateMachine>, placementClass: PlacementClass): RankedMachines {
             val ranked = candidates.map { it to placementCost(placementClass, it) }.sortedBy { it.second }
--- a/src/main/kotlin/cleathitch/scheduler/placement/ZoneAllowance.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/ZoneAllowance.kt
@@ -26,6 +26,9 @@
         else -> ZoneAllowance(tasksByZone + (zone to remaining(zone) - tasks))
     }
 
+    /** The allowance in [zones] alone. */
+    fun only(zones: Set<String>) = ZoneAllowance(tasksByZone?.filterKeys { it in zones } ?: zones.associateWith { Int.MAX_VALUE }, needsSingleZone)
+
     /** The zones that may take another task, null if all may. */
     val openZones: Set<String>? get() = tasksByZone?.filterValues { it > 0 }?.keys
 
--- a/src/test/kotlin/cleathitch/scheduler/NominationTest.kt
+++ b/src/test/kotlin/cleathitch/scheduler/NominationTest.kt
@@ -4,6 +4,7 @@
 import cleathitch.scheduler.api.Input
 import cleathitch.scheduler.api.WaitReason
 import cleathitch.scheduler.model.ExitReason
+import cleathitch.scheduler.model.JobId
 import cleathitch.scheduler.model.Priority
 import cleathitch.scheduler.model.WorkerCommand
 import cleathitch.scheduler.simulation.SimulatedCluster
@@ -65,11 +66,27 @@
 
         run(seconds = timings.silentAfterMs / 1000.0)
 
-        assertEquals(1, trace.count { "event=nomination_dropped job=j-000090" in it && "reason=expired" in it })
+        assertEquals(1, droppedBecause("expired"))
         assertEquals(1, preemptions().size)
         assertEquals(1, scheduler.placementStatistics.wastedPreemptions)
     }
 
+    @Test
+    fun `room is given up if the machine is to be reclaimed or the job is cancelled`() {
+        preempt()
+        sendHeartbeat(machine.heartbeat().copy(preemptionNoticeS = 30.0))
+        runRounds(2).forEach(::execute)
+        assertEquals(1, droppedBecause("machine_unusable"))
+
+        run(seconds = 2.0)
+        step(Input.Cancel(request(), JobId("j-000090")))
+        run(seconds = 2.0)
+
+        assertEquals(1, droppedBecause("not_needed"))
+    }
+
+    private fun droppedBecause(reason: String) = trace.count { "event=nomination_dropped job=j-000090" in it && "reason=$reason" in it }
+
     @Test
     fun `after a failover room is made again, and the job starts`() {
         preempt()
--- a/src/test/kotlin/cleathitch/scheduler/ZoneConstraintsTest.kt
+++ b/src/test/kotlin/cleathitch/scheduler/ZoneConstraintsTest.kt
@@ -53,6 +53,16 @@
         assertEquals(listOf("b"), zonesRentedAfterLossOf(3))
     }
 
+    /** Without it, the first task bound the job to a zone where the second one never fitted. */
+    @Test
+    fun `a service in one zone starts in a zone that has room for all of its tasks`() {
+        becomeLeader()
+        listOf(0, 1, 3).forEach { sendHeartbeat(heartbeat(it)) }
+        submit(service.copy(tasks = 2, cpus = 4.0, oneZone = true))
+
+        assertEquals(setOf(1, 3), runRounds(ROUNDS).directStarts().map { it.machine.number }.toSet())
+    }
+
     private fun submit(spec: JobSpec) = step(Input.Submit(request(), spec))
 
     private val MachineId.number get() = text.substringAfter('-').toInt()
--- a/src/test/kotlin/cleathitch/scheduler/simulation/PreemptionTest.kt
+++ b/src/test/kotlin/cleathitch/scheduler/simulation/PreemptionTest.kt
@@ -15,12 +15,18 @@
 
 /** Simulates clusters with more work than room and without faults, in which jobs preempt the tasks of others. */
 class PreemptionTest {
-    private fun cluster(seed: Long, machines: Int, guaranteedCpus: Double = 0.0, objectives: List<Objective> = emptyList()) =
+    private fun cluster(
+        seed: Long,
+        machines: Int,
+        guaranteedCpus: Double = 0.0,
+        maxCpus: Double? = null,
+        objectives: List<Objective> = emptyList(),
+    ) =
         SimulatedCluster(
             seed,
             FaultSchedule(),
             SimulatedCluster.defaultDeployment.copy(
-                teams = listOf("red", "blue").associateWith { Team(it, guaranteedCpus, null, 0.0, null) },
+                teams = listOf("red", "blue").associateWith { Team(it, guaranteedCpus, maxCpus, 0.0, null) },
                 objectives = SimulatedCluster.defaultDeployment.objectives + objectives,
             ),
             machines,
@@ -47,7 +53,7 @@
     @TestFactory
     fun `every stopped task makes room in which the job starts that it was stopped for`() = (1L..SEED_COUNT).map { seed ->
         DynamicTest.dynamicTest("seed $seed") {
-            val cluster = cluster(seed, machines = 3, guaranteedCpus = if (seed % 2 == 0L) 4.0 else 0.0)
+            val cluster = cluster(seed, machines = 3, guaranteedCpus = if (seed % 2 == 0L) 4.0 else 0.0, maxCpus = if (seed % 3 == 0L) 8.0 else null)
             val random = Random(seed)
             repeat(JOB_COUNT) { cluster.submitAt(random.nextLong(SUBMISSION_PHASE_MS), randomJob(it, random)) }
             cluster.start()
@@ -70,7 +76,7 @@
         }
 
     private fun assertReclaimed(kind: JobKind, objectives: List<Objective>) {
-        val cluster = cluster(seed = 1, machines = 3, guaranteedCpus = 4.0, objectives)
+        val cluster = cluster(seed = 1, machines = 3, guaranteedCpus = 4.0, objectives = objectives)
         cluster.submitAt(0, SimulatedCluster.jobSpec(1, JobKind.SERVICE, tasks = 5, team = "blue"))
         cluster.submitAt(1_000, SimulatedCluster.jobSpec(2, JobKind.SERVICE, tasks = 3, team = "blue"))
         val guaranteed = SimulatedCluster.jobSpec(3, kind, tasks = 2, team = "red").copy(spotAllowed = false)
