Bound the cost of reclaiming in a round; mend the linter's findings

Cause: whether other room is expected was computed anew for each waiting job, over all jobs and machines, and each class within a guarantee cost an evaluation of the fleet.

--- a/src/main/kotlin/cleathitch/cli/Application.kt
+++ b/src/main/kotlin/cleathitch/cli/Application.kt
@@ -11,7 +11,6 @@
 import cleathitch.http.HttpResponse
 import cleathitch.leader.Clocks
 import cleathitch.leader.LeaderDependencies
-import cleathitch.leader.PlacementMeters
 import cleathitch.leader.heartbeatPeriodMs
 import cleathitch.metrics.ProcessingTimes
 import cleathitch.peers.PeerClient
@@ -92,7 +91,6 @@
             clocks,
             meterRegistry,
             processingTimes,
-            PlacementMeters(meterRegistry),
             // Each queued request occupies a connection, to this controller or to a follower.
             maxQueuedRequests = settings.maxSockets,
         )
--- a/src/main/kotlin/cleathitch/leader/LeaderDependencies.kt
+++ b/src/main/kotlin/cleathitch/leader/LeaderDependencies.kt
@@ -16,8 +16,10 @@
     val clocks: Clocks,
     val meterRegistry: MeterRegistry,
     val processingTimes: ProcessingTimes,
-    val placementMeters: PlacementMeters,
 
     /** The maximum number of requests queued for the scheduler; further requests are refused immediately. */
     val maxQueuedRequests: Int,
-)
+) {
+    /** Metrics of the scheduling rounds in all terms. */
+    val placementMeters = PlacementMeters(meterRegistry)
+}
--- a/src/main/kotlin/cleathitch/scheduler/JobPlacer.kt
+++ b/src/main/kotlin/cleathitch/scheduler/JobPlacer.kt
@@ -4,6 +4,7 @@
 import cleathitch.scheduler.api.SchedulerContext
 import cleathitch.scheduler.api.WaitReason
 import cleathitch.scheduler.api.logEvent
+import cleathitch.scheduler.capacity.ReclaimPolicy
 import cleathitch.scheduler.capacity.UnplacedTasks
 import cleathitch.scheduler.jobs.Job
 import cleathitch.scheduler.jobs.Quota
@@ -29,10 +30,12 @@
     private val dispatcher: CommandDispatcher,
     private val waitReasons: WaitReasonLog,
     private val preemptor: Preemptor,
+    private val reclaimPolicy: ReclaimPolicy,
     private val round: PlacementRound,
 ) {
     private val rentableOffers = RentableOffers(inventory)
     private val nominations = preemptor.nominations
+    private val offeredZonesByClass = HashMap<PlacementClass, Set<String>>()
     private val unplaceableClasses = HashSet<PlacementClass>()
     private val unplaced = ArrayList<UnplacedTasks>()
 
@@ -52,7 +55,7 @@
         when {
             nominations.taskCount(job) > 0 -> recordMakingRoom(job)
             !mayStartGang(job) -> waitReasons.record(job, WaitReason.QUOTA, job.waitingTasks)
-            preemptor.makeRoom(job, allowance, job.waitingTasks, round) > 0 -> recordMakingRoom(job)
+            preemptor.makeRoom(job, allowance, job.waitingTasks, round, reclaimPolicy) > 0 -> recordMakingRoom(job)
             else -> recordUnplaced(job, allowance, job.waitingTasks)
         }
     }
@@ -63,8 +66,7 @@
      */
     private fun placeTasks(job: Job, limit: Int = Int.MAX_VALUE): ZoneAllowance {
         val started = placeOnNominatedMachines(job, limit)
-        var allowance = ZoneAllowance.of(job, inventory)
-        nominations.of(job).forEach { allowance = allowance.after(it.machine.offer.zone, it.tasks) }
+        var allowance = allowanceBesidesNominations(job)
         if (allowance.needsSingleZone) allowance = round.narrowToZones(job, allowance, offeredZones(job))
         repeat(minOf(limit - started, job.waitingTasks - nominations.taskCount(job))) {
             val index = job.nextWaitingTask()
@@ -76,6 +78,12 @@
         return allowance
     }
 
+    /** What the zones may take in addition to the tasks for which room is being made. */
+    private fun allowanceBesidesNominations(job: Job): ZoneAllowance =
+        nominations.of(job).fold(ZoneAllowance.of(job, inventory)) { left, nomination ->
+            left.after(nomination.machine.offer.zone, nomination.tasks)
+        }
+
     /** The part of the team's limit that tasks take for which room is being made. */
     private fun reservedQuota(job: Job) = nominations.usageOfTeam(job.spec.team)
 
@@ -83,7 +91,7 @@
     private fun placeOnNominatedMachines(job: Job, limit: Int): Int {
         var started = 0
         for (nomination in nominations.of(job)) {
-        repeat(minOf(limit - started, nomination.tasks)) {
+            repeat(minOf(limit - started, nomination.tasks)) {
                 val index = job.nextWaitingTask() ?: return started
                 if (!quota.allows(job.spec) || !round.useNomination(nomination)) return@repeat
                 start(job, index, nomination.machine)
@@ -109,8 +117,8 @@
         if (waiting == 0) return recordMakingRoom(job)
         val permitted = minOf(waiting, quota.remainingTasks(job.spec, reservedQuota(job)))
         if (permitted <= 0) return waitReasons.record(job, WaitReason.QUOTA, waiting)
-        val remaining = permitted - preemptor.makeRoom(job, allowance, permitted, round)
-        if (remaining == 0) recordMakingRoom(job) else recordUnplaced(job, allowance, remaining)
+        val remaining = permitted - preemptor.makeRoom(job, allowance, permitted, round, reclaimPolicy)
+        if (remaining == 0) recordMakingRoom(job) else recordUnplaced(job, allowanceBesidesNominations(job), remaining)
     }
 
     private fun recordMakingRoom(job: Job) {
@@ -128,11 +136,13 @@
         return if (offeredZones(job).any { it in allowance }) WaitReason.NO_ROOM else WaitReason.OFFER_REFUSED
     }
 
-    private fun offeredZones(job: Job): Set<String> =
+    private fun offeredZones(job: Job): Set<String> = offeredZonesByClass.getOrPut(job.spec.placementClass) {
         rentableOffers.offersFor(job.spec.placementClass, context.now.monotonicMs).mapTo(HashSet()) { it.zone }
+    }
 
     /** The tasks of a gang are started together, so none may have a live attempt, and the team's limit has to allow all of them. */
-    private fun mayStartGang(job: Job) = job.liveAttempts.isEmpty() && quota.remainingTasks(job.spec, reservedQuota(job)) >= job.waitingTasks
+    private fun mayStartGang(job: Job) =
+        job.liveAttempts.isEmpty() && quota.remainingTasks(job.spec, reservedQuota(job)) >= job.waitingTasks
 
     /** Starts all tasks of a gang together; returns false if they can't all be placed. */
     private fun placeGang(job: Job, allowance: ZoneAllowance): Boolean {
--- a/src/main/kotlin/cleathitch/scheduler/Preemptor.kt
+++ b/src/main/kotlin/cleathitch/scheduler/Preemptor.kt
@@ -23,8 +23,8 @@
 import cleathitch.scheduler.placement.ZoneAllowance
 
 /**
- * Stops running tasks to make room for jobs of higher priority or within their team's guarantee, and keeps that room for them until they start there. Confined to the
- * leader's event loop.
+ * Stops running tasks to make room for jobs of higher priority or within their team's guarantee, and keeps that room for them until
+ * they start there. Confined to the leader's event loop.
  */
 internal class Preemptor(
     private val context: SchedulerContext,
@@ -32,7 +32,6 @@
     private val inventory: Inventory,
     private val quota: Quota,
     private val dispatcher: CommandDispatcher,
-    private val reclaimPolicy: ReclaimPolicy,
 ) {
     /** The room that is being made. */
     val nominations = Nominations()
@@ -58,7 +57,9 @@
         nominations.drop(context.now.monotonicMs, reason = { nomination ->
             val job = nomination.job
             val tasks = (nominatedTasks[job.id] ?: 0) + nomination.tasks
-            val isNeeded = job.id in waitingJobs && quota.allows(job.spec) && tasks <= job.waitingTasks &&
+            val isNeeded = job.id in waitingJobs &&
+                quota.allows(job.spec) &&
+                tasks <= job.waitingTasks &&
                 nomination.machine.offer.zone in ZoneAllowance.of(job, inventory)
             when {
                 !isNeeded -> NominationEnd.NOT_NEEDED
@@ -91,25 +92,31 @@
      * production jobs from tasks of lower priority. For a gang, room is made for all tasks or none, and only within the guarantee.
      * Returns the number of the job's tasks that will fit once all stopping tasks have ended.
      */
-    fun makeRoom(job: Job, allowance: ZoneAllowance, count: Int, round: PlacementRound): Int {
+    fun makeRoom(job: Job, allowance: ZoneAllowance, count: Int, round: PlacementRound, reclaimPolicy: ReclaimPolicy): Int {
         if (!context.isFleetObserved()) return 0
-        val isGang = job.spec.kind == JobKind.GANG
-        val guaranteed = minOf(count, quota.remainingGuaranteedTasks(job.spec, nominations.usageOfTeam(job.spec.team)))
-        var made = 0
-        var remainingAllowance = allowance
-        if (guaranteed > 0 && (guaranteed == count || !isGang) && reclaimPolicy.isDue(job, allowance, guaranteed, context.now)) {
-            val plan = round.planPreemption(job, allowance, guaranteed, reclaims = true)
-            if (isGang && plan.tasks < count) return 0.also { round.discard(plan, job) }
-            carryOut(job, plan)
-            made = plan.tasks
-            remainingAllowance = plan.remainingAllowance
-        }
-        if (made < count && job.spec.priority == Priority.PRODUCTION && !isGang) {
-            val plan = round.planPreemption(job, remainingAllowance, count - made)
-            carryOut(job, plan)
-            made += plan.tasks
-        }
-        return made
+        val guaranteed = guaranteedTasks(job, count)
+        val mayReclaim = guaranteed > 0 && reclaimPolicy.isDue(job, allowance, guaranteed)
+        if (job.spec.kind == JobKind.GANG) return if (mayReclaim && guaranteed == count) makeRoomForGang(job, allowance, round) else 0
+        val reclaimed = if (mayReclaim) reclaim(job, allowance, guaranteed, round) else null
+        val remaining = count - (reclaimed?.tasks ?: 0)
+        if (remaining == 0 || job.spec.priority != Priority.PRODUCTION) return count - remaining
+        val plan = round.planPreemption(job, reclaimed?.remainingAllowance ?: allowance, remaining)
+        carryOut(job, plan)
+        return count - remaining + plan.tasks
+    }
+
+    /** How many of [count] waiting tasks are within the team's guarantee. */
+    private fun guaranteedTasks(job: Job, count: Int) =
+        minOf(count, quota.remainingGuaranteedTasks(job.spec, nominations.usageOfTeam(job.spec.team)))
+
+    private fun reclaim(job: Job, allowance: ZoneAllowance, tasks: Int, round: PlacementRound): PreemptionPlan =
+        round.planPreemption(job, allowance, tasks, reclaims = true).also { carryOut(job, it) }
+
+    private fun makeRoomForGang(job: Job, allowance: ZoneAllowance, round: PlacementRound): Int {
+        val plan = round.planPreemption(job, allowance, job.waitingTasks, reclaims = true)
+        if (plan.tasks < job.waitingTasks) return 0.also { round.discard(plan, job) }
+        carryOut(job, plan)
+        return plan.tasks
     }
 
     /** Stops the plan's victims, and nominates its machines until the stopping tasks must have ended. */
--- a/src/main/kotlin/cleathitch/scheduler/SchedulingRound.kt
+++ b/src/main/kotlin/cleathitch/scheduler/SchedulingRound.kt
@@ -42,14 +42,7 @@
     private val completionObjectives = deployment.objectives.filterIsInstance<Objective.Completion>().sortedBy { it.deadlineS }
         .groupBy({ it.className }, { it.deadlineS })
     private val waitReasons = WaitReasonLog(context)
-    private val preemptor = Preemptor(
-        context,
-        timings,
-        inventory,
-        quota,
-        dispatcher,
-        ReclaimPolicy(deployment.objectives, inventory, jobTable),
-    )
+    private val preemptor = Preemptor(context, timings, inventory, quota, dispatcher)
     private var lastRoundMs = 0L
 
     /** What the rounds have done so far. */
@@ -91,7 +84,8 @@
         preemptor.dropUnusableNominations(waiting, machines)
         val borrowedCapacity = BorrowedCapacity(deployment.teams, jobTable)
         val round = PlacementRound(jobTable, machines, context.now.monotonicMs, preemptor.nominations, borrowedCapacity)
-        val placer = JobPlacer(context, inventory, quota, decisionLog, dispatcher, waitReasons, preemptor, round)
+        val reclaimPolicy = ReclaimPolicy(deployment.objectives, inventory, jobTable, context.now)
+        val placer = JobPlacer(context, inventory, quota, decisionLog, dispatcher, waitReasons, preemptor, reclaimPolicy, round)
         val jobs = SchedulingOrder(completionObjectives, quota, context.now.wallMs).order(waiting)
         // Overdue jobs come first, with one task each or the whole gang, so that every job starts in time however long the queue is.
         for (job in jobs) if (SchedulingOrder.isOverdue(job, context.now.wallMs)) placer.placeFirst(job)
--- a/src/main/kotlin/cleathitch/scheduler/capacity/CapacityPlanner.kt
+++ b/src/main/kotlin/cleathitch/scheduler/capacity/CapacityPlanner.kt
@@ -26,16 +26,8 @@
             val spotAllowed = demand.placementClass.spotAllowed
             var unmet = demand
             for (part in splitByZone(demand, capacities, nowMs, spotOnly = spotAllowed)) {
-                var remaining = part.tasks
-                for (capacity in capacities) {
-                    if (remaining == 0) break
-                    if (part.placementClass.permits(capacity.offer)) remaining -= capacity.assign(part, remaining)
-                }
-                rent(part, remaining, nowMs, plan, spotOnly = spotAllowed) { capacity ->
-                    remaining -= capacity.assign(part, remaining)
-                    capacities += capacity
-                }
-                unmet = unmet.without(part.tasks - remaining, part.placementClass.zone)
+                val met = part.tasks - serve(part, capacities, nowMs, plan, spotOnly = spotAllowed)
+                unmet = unmet.without(met, part.placementClass.zone)
             }
             if (spotAllowed) unmetBySpot += unmet.copy(tasks = min(unmet.tasks, demand.urgentTasks))
         }
@@ -46,6 +38,26 @@
         return plan.rentals()
     }
 
+    /** Assigns the demand to [capacities] and rents machines for the rest, which are added to them. Returns the number of unmet tasks. */
+    private fun serve(
+        demand: MachineDemand,
+        capacities: MutableList<FreeCapacity>,
+        nowMs: Long,
+        plan: RentalPlan,
+        spotOnly: Boolean,
+    ): Int {
+        var remaining = demand.tasks
+        for (capacity in capacities) {
+            if (remaining == 0) break
+            if (demand.placementClass.permits(capacity.offer)) remaining -= capacity.assign(demand, remaining)
+        }
+        rent(demand, remaining, nowMs, plan, spotOnly) { capacity ->
+            remaining -= capacity.assign(demand, remaining)
+            capacities += capacity
+        }
+        return remaining
+    }
+
     /** What remains of the demand after [tasks] of its tasks have been assigned to [zone], null for any zone. */
     private fun MachineDemand.without(tasks: Int, zone: String?) =
         copy(tasks = this.tasks - tasks, allowance = if (zone == null) allowance else allowance.after(zone, tasks))
--- a/src/main/kotlin/cleathitch/scheduler/placement/BorrowedCapacity.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/BorrowedCapacity.kt
@@ -23,6 +23,18 @@
         return usageByTeam
     }
 
+    /** Whether a team other than [team] uses more than its guarantee. */
+    fun isAnyBorrowedBesides(team: String): Boolean = teams.values.any { other ->
+        val usage = jobTable.usageOfTeam(other.name)
+        val stopping = stoppingByTeam[other.name]
+        other.name != team &&
+            usage != null &&
+            (
+                usage.cpus - (stopping?.cpus ?: 0.0) > other.cpus + RESOURCE_TOLERANCE ||
+                    usage.gpus - (stopping?.gpus ?: 0.0) > other.gpus + RESOURCE_TOLERANCE
+                )
+    }
+
     /** Records that [victims] are to be stopped. */
     fun recordStops(victims: List<Attempt>) = victims.forEach { victim ->
         stoppingByTeam.getOrPut(victim.job.spec.team) { ResourceUsage() }.add(victim.job.spec.placementClass)
--- a/src/main/kotlin/cleathitch/scheduler/placement/PlacementRound.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/PlacementRound.kt
@@ -112,7 +112,9 @@
      * [reclaims], tasks of any priority that other teams run beyond their guarantees are preempted too.
      */
     fun planPreemption(job: Job, allowance: ZoneAllowance, maxTasks: Int, reclaims: Boolean = false): PreemptionPlan {
-        val planner = preemptionPlanners.getOrPut(PlannerKey(job.spec.placementClass, reclaims)) {
+        val key = PlannerKey(job.spec.placementClass, reclaims)
+        if (reclaims && !mayReclaim(key)) return PreemptionPlan(emptyList(), allowance)
+        val planner = preemptionPlanners.getOrPut(key) {
             candidatesEvaluated += machines.size
             val permitted = machines.values.filterNot { nominations.isExcluded(it.machine) }
             PreemptionPlanner(job.spec, permitted, victimOrder, borrowedCapacity, reclaims)
@@ -120,6 +122,10 @@
         return planner.plan(allowance, maxTasks)
     }
 
+    /** Each class costs an evaluation of all machines, so the others wait for a later round; the classes come in scheduling order. */
+    private fun mayReclaim(key: PlannerKey): Boolean = borrowedCapacity.isAnyBorrowedBesides(key.placementClass.team) &&
+        (key in preemptionPlanners || preemptionPlanners.keys.count { it.reclaims } < MAX_RECLAIMING_CLASSES)
+
     /** Gives up a plan that isn't carried out. */
     fun discard(plan: PreemptionPlan, job: Job) {
         for (assignment in plan.assignments) {
@@ -128,4 +134,9 @@
         }
         preemptionPlanners.clear()
     }
+
+    private companion object {
+        /** The number of placement classes for which guarantees are reclaimed in one round. */
+        const val MAX_RECLAIMING_CLASSES = 8
+    }
 }
--- a/src/main/kotlin/cleathitch/scheduler/placement/PreemptionPlanner.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/PreemptionPlanner.kt
@@ -77,6 +77,7 @@
     }
 
     private fun isPreemptible(attempt: Attempt): Boolean {
+        if (attempt.stopCause != null) return false
         val hasLowerPriority = spec.priority == Priority.PRODUCTION && attempt.job.spec.priority > spec.priority
         return hasLowerPriority || (reclaims && attempt.job.spec.team != spec.team)
     }
@@ -93,10 +94,11 @@
         fun fits() = candidate.fittingTasksAfter(freed, placementClass) > 0
         val victims = ArrayList<Attempt>()
         for (attempt in attempts) {
-            if (attempt.stopCause != null || !isPreemptible(attempt) || !mayStop(attempt, victims)) continue
-            victims += attempt
-            freed.add(attempt.job.spec.placementClass)
             if (fits()) break
+            if (isPreemptible(attempt) && mayStop(attempt, victims)) {
+                victims += attempt
+                freed.add(attempt.job.spec.placementClass)
+            }
         }
         if (!fits()) return emptyList()
         for (attempt in victims.dropLast(1).asReversed()) {
@@ -113,14 +115,15 @@
     private fun pollBest(allowance: ZoneAllowance): Option? {
         val skipped = ArrayList<Option>()
         var best: Option? = null
-        while (best == null) {
-            val option = options.poll() ?: break
-            if (option.candidate.zone !in allowance) {
-                skipped += option
-                continue
+        var option = options.poll()
+        while (option != null && best == null) {
+            val current = if (option.candidate.zone in allowance) optionOn(option.candidate) else null
+            when {
+                option.candidate.zone !in allowance -> skipped += option
+                current != null && current.lossPerTask <= option.lossPerTask -> best = current
+                current != null -> options += current
             }
-            val current = optionOn(option.candidate) ?: continue
-            if (current.lossPerTask <= option.lossPerTask) best = current else options += current
+            if (best == null) option = options.poll()
         }
         options += skipped
         return best
--- a/src/main/kotlin/cleathitch/scheduler/placement/ZoneAllowance.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/ZoneAllowance.kt
@@ -27,7 +27,8 @@
     }
 
     /** The allowance in [zones] alone. */
-    fun only(zones: Set<String>) = ZoneAllowance(tasksByZone?.filterKeys { it in zones } ?: zones.associateWith { Int.MAX_VALUE }, needsSingleZone)
+    fun only(zones: Set<String>) =
+        ZoneAllowance(tasksByZone?.filterKeys { it in zones } ?: zones.associateWith { Int.MAX_VALUE }, needsSingleZone)
 
     /** The zones that may take another task, null if all may. */
     val openZones: Set<String>? get() = tasksByZone?.filterValues { it > 0 }?.keys
--- a/src/test/kotlin/cleathitch/scheduler/RoundCostTest.kt
+++ b/src/test/kotlin/cleathitch/scheduler/RoundCostTest.kt
@@ -32,8 +32,8 @@
         }
         val evaluated = scheduler.candidatesEvaluated - evaluatedBefore
         println(
-            "$MACHINES machines, $TASKS tasks, $URGENT_JOBS urgent jobs of $CLASSES classes: $ROUNDS rounds, longest %.1f ms, mean %.1f ms; "
-                .format(durationsMs.max(), durationsMs.average()) + "$evaluated evaluations",
+            "$MACHINES machines, $TASKS tasks, $URGENT_JOBS urgent jobs of $CLASSES classes: $evaluated evaluations in $ROUNDS rounds, " +
+                "longest %.1f ms, mean %.1f ms".format(durationsMs.max(), durationsMs.average()),
         )
         assertTrue(evaluated <= ROUNDS.toLong() * MACHINES * (CLASSES + CLASSES_OF_RUNNING_TASKS) * EVALUATIONS_PER_CLASS)
     }
--- a/src/test/kotlin/cleathitch/scheduler/simulation/PreemptionTest.kt
+++ b/src/test/kotlin/cleathitch/scheduler/simulation/PreemptionTest.kt
@@ -21,16 +21,15 @@
         guaranteedCpus: Double = 0.0,
         maxCpus: Double? = null,
         objectives: List<Objective> = emptyList(),
-    ) =
-        SimulatedCluster(
-            seed,
-            FaultSchedule(),
-            SimulatedCluster.defaultDeployment.copy(
-                teams = listOf("red", "blue").associateWith { Team(it, guaranteedCpus, maxCpus, 0.0, null) },
-                objectives = SimulatedCluster.defaultDeployment.objectives + objectives,
-            ),
-            machines,
-        )
+    ) = SimulatedCluster(
+        seed,
+        FaultSchedule(),
+        SimulatedCluster.defaultDeployment.copy(
+            teams = listOf("red", "blue").associateWith { Team(it, guaranteedCpus, maxCpus, 0.0, null) },
+            objectives = SimulatedCluster.defaultDeployment.objectives + objectives,
+        ),
+        machines,
+    )
 
     private fun SimulatedCluster.submitAt(ms: Long, spec: JobSpec) = events.schedule(ms) { users.submit(spec) }
 
@@ -53,7 +52,18 @@
     @TestFactory
     fun `every stopped task makes room in which the job starts that it was stopped for`() = (1L..SEED_COUNT).map { seed ->
         DynamicTest.dynamicTest("seed $seed") {
-            val cluster = cluster(seed, machines = 3, guaranteedCpus = if (seed % 2 == 0L) 4.0 else 0.0, maxCpus = if (seed % 3 == 0L) 8.0 else null)
+            val cluster = cluster(
+                seed,
+                machines = 3,
+                guaranteedCpus = if (seed % 2 ==
+                    0L
+                ) {
+                    4.0
+                } else {
+                    0.0
+                },
+                maxCpus = if (seed % 3 == 0L) 8.0 else null,
+            )
             val random = Random(seed)
             repeat(JOB_COUNT) { cluster.submitAt(random.nextLong(SUBMISSION_PHASE_MS), randomJob(it, random)) }
             cluster.start()
--- a/src/test/kotlin/cleathitch/scheduler/simulation/PreemptionTrace.kt
+++ b/src/test/kotlin/cleathitch/scheduler/simulation/PreemptionTrace.kt
@@ -19,14 +19,8 @@
 
         /** Reads the lines of a cluster's [trace]. */
         fun of(trace: List<String>) = PreemptionTrace(
-            trace.mapNotNull(STOP::find).map { match ->
-                val (atS, attempt, machine, job) = match.destructured
-                Stop(atS.toDouble(), attempt, machine, job)
-            },
-            trace.mapNotNull(START::find).map { match ->
-                val (atS, job, machine) = match.destructured
-                Start(atS.toDouble(), job, machine)
-            },
+            trace.mapNotNull(STOP::find).map { it.groupValues }.map { Stop(it[1].toDouble(), it[2], machine = it[3], job = it[4]) },
+            trace.mapNotNull(START::find).map { it.groupValues }.map { Start(it[1].toDouble(), it[2], machine = it[3]) },
         )
     }
 }
