Test making room under faults, with three zones, limits and large guarantees

PreemptionTest's random clusters now differ by seed in zones (two or three), guarantees (none, 4 CPUs, and 8 CPUs for each of two teams on 12 CPUs) and limits, and their jobs in zone; the check that each stop leads to a start is as before. New: the same clusters with lost messages, leaders, hanging and lost machines, where all jobs have to run once faults end. PlacementRoundTest checks which team's work a production job preempts.

--- a/src/test/kotlin/cleathitch/scheduler/placement/PlacementRoundTest.kt
+++ b/src/test/kotlin/cleathitch/scheduler/placement/PlacementRoundTest.kt
@@ -154,4 +154,20 @@
         assertEquals(emptyList<Any>(), victims.filter { it.job == gpuJob })
         assertEquals(0, round.planPreemption(guaranteed, allowance(guaranteed), maxTasks = 1, reclaims = true).tasks)
     }
+
+    @Test
+    fun `a production job preempts its own team's work, and other teams' only as far as it is beyond their guarantee`() {
+        val teams = mapOf("red" to Team("red", 0.0, null, 0.0, null), "blue" to Team("blue", 2.0, null, 0.0, null))
+        accept(spec("j-1", team = "blue"))
+        repeat(2) { start("j-1", it, machine("m-1")) }
+        val urgent = accept(spec("j-2", priority = Priority.PRODUCTION))
+
+        fun plan() = PlacementRound(jobTable, inventory.machines.values.toList(), 0, borrowedCapacity = BorrowedCapacity(teams, jobTable))
+            .planPreemption(urgent, allowance(urgent), maxTasks = 2)
+        assertEquals(listOf("j-1"), plan().victims.map { it.job.id.text })
+
+        accept(spec("j-3"))
+        repeat(2) { start("j-3", it, machine("m-2")) }
+        assertEquals(mapOf("j-3" to 1, "j-1" to 1), plan().victims.groupingBy { it.job.id.text }.eachCount())
+    }
 }
--- a/src/test/kotlin/cleathitch/scheduler/simulation/PreemptionTest.kt
+++ b/src/test/kotlin/cleathitch/scheduler/simulation/PreemptionTest.kt
@@ -13,24 +13,38 @@
 import org.junit.jupiter.api.TestFactory
 import kotlin.random.Random
 
-/** Simulates clusters with more work than room and without faults, in which jobs preempt the tasks of others. */
+/** Simulates clusters with more work than room, in which jobs preempt the tasks of others. */
 class PreemptionTest {
     private fun cluster(
         seed: Long,
         machines: Int,
-        guaranteedCpus: Double = 0.0,
-        maxCpus: Double? = null,
+        team: Team = Team("red", 0.0, null, 0.0, null),
         objectives: List<Objective> = emptyList(),
+        zones: List<String> = SimulatedCluster.defaultDeployment.zones,
+        faults: FaultSchedule = FaultSchedule(),
     ) = SimulatedCluster(
         seed,
-        FaultSchedule(),
+        faults,
         SimulatedCluster.defaultDeployment.copy(
-            teams = listOf("red", "blue").associateWith { Team(it, guaranteedCpus, maxCpus, 0.0, null) },
+            teams = listOf("red", "blue").associateWith { team.copy(name = it) },
             objectives = SimulatedCluster.defaultDeployment.objectives + objectives,
+            zones = zones,
         ),
         machines,
     )
 
+    /** Each seed has other zones, guarantees and limits; the guarantees of some exceed the 12 CPUs of the machines. */
+    private fun randomCluster(seed: Long, faults: FaultSchedule = FaultSchedule()): SimulatedCluster {
+        val guaranteedCpus = listOf(0.0, 4.0, 8.0)[(seed % 3).toInt()]
+        val team = Team("red", guaranteedCpus, if (seed % 2 == 0L) 8.0 else null, 0.0, null)
+        val zones = listOf("a", "b", "c").take(2 + (seed % 2).toInt())
+        val cluster = cluster(seed, machines = 3, team, zones = zones, faults = faults)
+        val random = Random(seed)
+        repeat(JOB_COUNT) { cluster.submitAt(random.nextLong(SUBMISSION_PHASE_MS), randomJob(it, random, zones)) }
+        cluster.start()
+        return cluster
+    }
+
     private fun SimulatedCluster.submitAt(ms: Long, spec: JobSpec) = events.schedule(ms) { users.submit(spec) }
 
     /** Without it, freed resources went to others in the same round, whose tasks were the next round's victims, without end. */
@@ -52,21 +66,7 @@
     @TestFactory
     fun `every stopped task makes room in which the job starts that it was stopped for`() = (1L..SEED_COUNT).map { seed ->
         DynamicTest.dynamicTest("seed $seed") {
-            val cluster = cluster(
-                seed,
-                machines = 3,
-                guaranteedCpus = if (seed % 2 ==
-                    0L
-                ) {
-                    4.0
-                } else {
-                    0.0
-                },
-                maxCpus = if (seed % 3 == 0L) 8.0 else null,
-            )
-            val random = Random(seed)
-            repeat(JOB_COUNT) { cluster.submitAt(random.nextLong(SUBMISSION_PHASE_MS), randomJob(it, random)) }
-            cluster.start()
+            val cluster = randomCluster(seed)
 
             cluster.run(RUN_MS)
 
@@ -76,6 +76,22 @@
         }
     }
 
+    /** Room that is being made is lost with leaders, machines and messages; all jobs have to run nevertheless. */
+    @TestFactory
+    fun `jobs for which room is made run in spite of faults`() = (1L..SEED_COUNT).map { seed ->
+        DynamicTest.dynamicTest("seed $seed") {
+            val faults = FaultSchedule(messageLoss = 0.02, leaderKillEveryS = 40.0, machineHangEveryS = 30.0, machineLossEveryS = 60.0)
+            val cluster = randomCluster(seed, faults)
+
+            cluster.run(SUBMISSION_PHASE_MS)
+            cluster.endFaults()
+            cluster.run(RUN_MS)
+
+            cluster.assertInvariantsHold()
+            cluster.assertAllJobsEnded()
+        }
+    }
+
     /** Without it, a team within its guarantee waited for as long as others held all machines, and no task was ever stopped for it. */
     @TestFactory
     fun `borrowed capacity is given back to a team within its guarantee, once and not below the lender's own`() =
@@ -86,7 +102,7 @@
         }
 
     private fun assertReclaimed(kind: JobKind, objectives: List<Objective>) {
-        val cluster = cluster(seed = 1, machines = 3, guaranteedCpus = 4.0, objectives = objectives)
+        val cluster = cluster(seed = 1, machines = 3, Team("red", 4.0, null, 0.0, null), objectives)
         cluster.submitAt(0, SimulatedCluster.jobSpec(1, JobKind.SERVICE, tasks = 5, team = "blue"))
         cluster.submitAt(1_000, SimulatedCluster.jobSpec(2, JobKind.SERVICE, tasks = 3, team = "blue"))
         val guaranteed = SimulatedCluster.jobSpec(3, kind, tasks = 2, team = "red").copy(spotAllowed = false)
@@ -104,15 +120,16 @@
     private fun urgentJob(number: Int, cpus: Double, tasks: Int = 1) =
         SimulatedCluster.jobSpec(number, tasks = tasks).copy(priority = Priority.PRODUCTION, cpus = cpus, spotAllowed = false)
 
-    private fun randomJob(number: Int, random: Random): JobSpec {
+    private fun randomJob(number: Int, random: Random, zones: List<String>): JobSpec {
         val spec = SimulatedCluster.jobSpec(number, tasks = random.nextInt(1, 9), team = listOf("red", "blue").random(random))
         return spec.copy(
             priority = Priority.entries.random(random),
             cpus = random.nextInt(1, 5).toDouble(),
             spotAllowed = random.nextBoolean(),
+            zone = if (random.nextInt(6) == 0) zones.random(random) else null,
             spread = random.nextInt(4) == 0,
             oneZone = random.nextInt(5) == 0,
-        ).let { if (it.spread) it.copy(oneZone = false) else it }
+        ).let { if (it.spread) it.copy(oneZone = false, zone = null) else it }
     }
 
     private fun assertStopsLeadToStarts(cluster: SimulatedCluster) {
