Reclaim a guarantee only for teams whose unfinished jobs fit into it

After half of the aim's time tasks were stopped for any job within its team's guarantee, also for teams that ask for far more, and although thousands of CPUs become free each few seconds.

Result: PreemptionTest, PlacementRoundTest and NominationTest pass.

--- a/src/main/kotlin/cleathitch/scheduler/SchedulingRound.kt
+++ b/src/main/kotlin/cleathitch/scheduler/SchedulingRound.kt
@@ -84,7 +84,7 @@
         preemptor.dropUnusableNominations(waiting, machines)
         val borrowedCapacity = BorrowedCapacity(deployment.teams, jobTable)
         val round = PlacementRound(jobTable, machines, context.now.monotonicMs, preemptor.nominations, borrowedCapacity)
-        val reclaimPolicy = ReclaimPolicy(deployment.objectives, inventory, jobTable, context.now)
+        val reclaimPolicy = ReclaimPolicy(deployment.objectives, deployment.teams, inventory, jobTable, context.now)
         val placer = JobPlacer(context, inventory, quota, decisionLog, dispatcher, waitReasons, preemptor, reclaimPolicy, round)
         val jobs = SchedulingOrder(completionObjectives, quota, context.now.wallMs).order(waiting)
         // Overdue jobs come first, with one task each or the whole gang, so that every job starts in time however long the queue is.
--- a/src/main/kotlin/cleathitch/scheduler/jobs/ResourceUsage.kt
+++ b/src/main/kotlin/cleathitch/scheduler/jobs/ResourceUsage.kt
@@ -13,23 +13,23 @@
     var tasks = 0
         private set
 
-    /** Adds the resources of one task of the class. */
-    fun add(placementClass: PlacementClass) = change(placementClass, 1)
+    /** Adds the resources of [count] tasks of the class. */
+    fun add(placementClass: PlacementClass, count: Int = 1) = change(placementClass, count)
 
-    /** Subtracts the resources of one task of the class. */
-    fun remove(placementClass: PlacementClass) = change(placementClass, -1)
+    /** Subtracts the resources of [count] tasks of the class. */
+    fun remove(placementClass: PlacementClass, count: Int = 1) = change(placementClass, -count)
 
-    private fun change(placementClass: PlacementClass, sign: Int) {
-        tasks += sign
+    private fun change(placementClass: PlacementClass, count: Int) {
+        tasks += count
         if (tasks == 0) {
             // Reset exactly; floating-point rounding errors would otherwise accumulate over days.
             cpus = 0.0
             gpus = 0.0
             memoryGb = 0.0
         } else {
-            cpus += sign * placementClass.cpus
-            gpus += sign * placementClass.gpus
-            memoryGb += sign * placementClass.memoryGb
+            cpus += count * placementClass.cpus
+            gpus += count * placementClass.gpus
+            memoryGb += count * placementClass.memoryGb
         }
     }
 }
--- a/src/main/kotlin/cleathitch/scheduler/placement/CandidateMachine.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/CandidateMachine.kt
@@ -59,13 +59,13 @@
     /** Reserves the resources of [tasks] tasks of a job for which room is being made, whether or not they are free yet. */
     fun nominate(placementClass: PlacementClass, tasks: Int) {
         reserve(placementClass, tasks)
-        repeat(tasks) { nominated.add(placementClass) }
+        nominated.add(placementClass, tasks)
     }
 
     /** Takes back [nominate]. */
     fun withdrawNomination(placementClass: PlacementClass, tasks: Int) {
         reserve(placementClass, -tasks)
-        repeat(tasks) { nominated.remove(placementClass) }
+        nominated.remove(placementClass, tasks)
     }
 
     /** Takes back [useNomination]. */
--- a/src/main/kotlin/cleathitch/scheduler/placement/Nominations.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/Nominations.kt
@@ -30,7 +30,7 @@
     /** Adds a nomination. */
     fun add(nomination: Nomination) {
         val usage = usageByTeam.getOrPut(nomination.job.spec.team) { ResourceUsage() }
-        repeat(nomination.tasks) { usage.add(nomination.job.spec.placementClass) }
+        usage.add(nomination.job.spec.placementClass, nomination.tasks)
         byJob.getOrPut(nomination.job.id) { ArrayList() } += nomination
     }
 
@@ -57,7 +57,7 @@
     fun isExcluded(machine: Machine): Boolean = machine.id in excludedUntilMs
 
     private fun remove(nomination: Nomination) {
-        repeat(nomination.tasks) { usageByTeam[nomination.job.spec.team]?.remove(nomination.job.spec.placementClass) }
+        usageByTeam[nomination.job.spec.team]?.remove(nomination.job.spec.placementClass, nomination.tasks)
         val nominations = byJob[nomination.job.id] ?: return
         nominations.remove(nomination)
         if (nominations.isEmpty()) byJob.remove(nomination.job.id)
