Bound the cost of gangs that can't get all of their room

Cause (by reading): a discarded plan of a gang dropped the planners of all classes and made room in the count of reclaiming classes, so many gangs within guarantees could cost an evaluation of the fleet each. A spread job with more tasks in a zone than allowed had a negative allowance there.

Change: only the gang's own planner is dropped, and built planners count.

Result: PreemptionTest, PlacementRoundTest, NominationTest and ZoneConstraintsTest pass.

--- a/src/main/kotlin/cleathitch/scheduler/placement/PlacementRound.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/PlacementRound.kt
@@ -38,6 +38,7 @@
     private val victimOrder = VictimOrder(jobTable, nowMs)
     private val rankings = HashMap<PlacementClass, Map<String, RankedMachines>>()
     private val preemptionPlanners = HashMap<PlannerKey, PreemptionPlanner>()
+    private var reclaimingPlanners = 0
 
     /** The number of (placement class, machine) pairs evaluated; tests use it to measure how the cost of a round grows. */
     var candidatesEvaluated = 0L
@@ -116,6 +117,7 @@
         if (reclaims && !mayReclaim(key)) return PreemptionPlan(emptyList(), allowance)
         val planner = preemptionPlanners.getOrPut(key) {
             candidatesEvaluated += machines.size
+            if (reclaims) reclaimingPlanners++
             val permitted = machines.values.filterNot { nominations.isExcluded(it.machine) }
             PreemptionPlanner(job.spec, permitted, victimOrder, borrowedCapacity, reclaims)
         }
@@ -124,15 +126,16 @@
 
     /** Each class costs an evaluation of all machines, so the others wait for a later round; the classes come in scheduling order. */
     private fun mayReclaim(key: PlannerKey): Boolean = borrowedCapacity.isAnyBorrowedBesides(key.placementClass.team) &&
-        (key in preemptionPlanners || preemptionPlanners.keys.count { it.reclaims } < MAX_RECLAIMING_CLASSES)
+        (key in preemptionPlanners || reclaimingPlanners < MAX_RECLAIMING_CLASSES)
 
-    /** Gives up a plan that isn't carried out. */
+    /** Gives up a plan to reclaim a guarantee that isn't carried out. */
     fun discard(plan: PreemptionPlan, job: Job) {
         for (assignment in plan.assignments) {
             machines.getValue(assignment.machine.id).withdrawNomination(job.spec.placementClass, assignment.tasks)
             borrowedCapacity.withdrawStops(assignment.victims)
         }
-        preemptionPlanners.clear()
+        // The planner has used up the options on these machines.
+        preemptionPlanners.remove(PlannerKey(job.spec.placementClass, reclaims = true))
     }
 
     private companion object {
--- a/src/main/kotlin/cleathitch/scheduler/placement/ZoneAllowance.kt
+++ b/src/main/kotlin/cleathitch/scheduler/placement/ZoneAllowance.kt
@@ -55,7 +55,9 @@
             val zones = inventory.zones.filter { spec.zone == null || it == spec.zone }
             return when {
                 spec.oneZone && liveByZone.isNotEmpty() -> ZoneAllowance(liveByZone.mapValues { job.waitingTasks })
-                spec.spread -> ZoneAllowance(zones.associateWith { minOf(job.waitingTasks, spec.maxPerZone - (liveByZone[it] ?: 0)) })
+                spec.spread -> ZoneAllowance(
+                    zones.associateWith { (spec.maxPerZone - (liveByZone[it] ?: 0)).coerceIn(0, job.waitingTasks) },
+                )
                 else -> ZoneAllowance(zones.associateWith { job.waitingTasks }, needsSingleZone = zones.size > 1)
             }
         }
